--- /dev/null
+++ b/kelpfront/rules.py
@@ -0,0 +1,606 @@
+"""Every decision of one placer. Settings, events and actions are in kelpfront/interface.py.
+
+The ordinary path is that of load balancing guardrails (docs/design.md): filters, then the safe set of
+the task's size rank, then the least-loaded machine of it. All else guards the five rules and the times
+when machines, the list or other placers misbehave.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+
+from kelpfront.interface import (
+    NEVER_RAN,
+    Action,
+    AttemptClosed,
+    Bind,
+    CancelAttempt,
+    Effect,
+    End,
+    Event,
+    Fail,
+    ListKind,
+    Load,
+    Log,
+    Machine,
+    MachineId,
+    MachineList,
+    MachineState,
+    Place,
+    ProbeAnswered,
+    Reason,
+    Refuse,
+    SetTimer,
+    Settings,
+    Subscribe,
+    TaskArrived,
+    TaskClass,
+    TaskFound,
+    TaskId,
+    TaskNote,
+    TaskPlaced,
+    TaskWithdrawn,
+    TimerFired,
+    Topic,
+)
+
+# ---- Tunables, each with its reason -----------------------------------------------------------------
+
+TIGHTNESS = 1.0  # g of the paper, whose section 5 finds the tightest best
+LOAD_CAP = 0.95  # above this the rank width hardly changes, while the estimate is late
+VIEW_LAG_MS = 1500.0  # how long an own bind may be missing from the view: report, list and network delays
+STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
+ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
+
+WAKE, LIST_CALL, DEADLINE = 0, 1, 2  # what a timer token is for, in its two lowest bits
+
+
+# ---- Machine view -----------------------------------------------------------------------------------
+
+
+class _Machine:
+    """A machine as the list, its answers and this placer's own binds show it."""
+
+    __slots__ = (
+        "aside_for", "aside_until", "cores", "counters", "full_cores", "full_memory", "full_until", "id",
+        "last_bind", "load", "memory", "offers", "open", "recent", "recent_cores", "recent_memory", "seen_at",
+        "strikes", "view",
+    )  # fmt: skip
+
+    def __init__(self, view: Machine, cores: float, memory: float) -> None:
+        self.id = view.id
+        self.view = view
+        self.cores = cores
+        self.memory = memory
+        self.seen_at = -math.inf
+        self.counters: dict[int, float] = {}
+        self.last_bind = -math.inf
+        self.open: dict[tuple[TaskId, int], _Attempt] = {}
+        self.recent: deque[tuple[float, float, float]] = deque()  # own binds and ends the view may lack
+        self.recent_cores = self.recent_memory = 0.0
+        self.offers: deque[float] = deque()
+        self.load: Load | None = None
+        self.full_until = -math.inf
+        self.full_cores = self.full_memory = math.inf
+        self.strikes = 0.0
+        self.aside_for = 0.0
+        self.aside_until = -math.inf
+
+    @property
+    def ready(self) -> bool:
+        return self.view.state is MachineState.READY
+
+    def note_change(self, now: float, cores: float, memory: float) -> None:
+        self.recent.append((now, cores, memory))
+        self.recent_cores += cores
+        self.recent_memory += memory
+
+    def asked(self, now: float) -> tuple[float, float]:
+        """Asked cores and memory: the view's, with own binds and ends that it cannot show yet."""
+        while self.recent and self.recent[0][0] <= now - VIEW_LAG_MS:
+            _, cores, memory = self.recent.popleft()
+            self.recent_cores -= cores
+            self.recent_memory -= memory
+        asked_cores = self.cores - self.view.free_cores + self.recent_cores
+        asked_memory = self.memory - self.view.free_memory + self.recent_memory
+        return max(0.0, asked_cores), max(0.0, asked_memory)
+
+    def forget_recent(self) -> None:
+        self.recent.clear()
+        self.recent_cores = self.recent_memory = 0.0
+
+
+class _Attempt:
+    __slots__ = ("cores", "machine", "memory", "number", "placed", "sent_at", "task")
+
+    def __init__(self, task: _Task, number: int, machine: _Machine | None, sent_at: float) -> None:
+        self.task = task
+        self.number = number
+        self.machine = machine
+        self.sent_at = sent_at
+        self.placed = False
+
+
+class _Task:
+    __slots__ = (
+        "answered", "cls", "cores", "deadline", "id", "maybe_ran", "memory", "refused_by", "sent", "service",
+    )  # fmt: skip
+
+    def __init__(self, ident: TaskId, cls: TaskClass, service: int, cores: float, memory: float) -> None:
+        self.id = ident
+        self.cls = cls
+        self.service = service
+        self.cores = cores
+        self.memory = memory
+        self.deadline = math.inf
+        self.sent = 0
+        self.refused_by: dict[MachineId, None] = {}
+        self.maybe_ran: list[_Attempt] = []
+        self.answered = False
+
+
+class Scheduler:
+    """Decides for one placer: `handle` takes events in order and returns what to do at that instant."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self._settings = settings
+        self._rules = settings.rules
+        self._random = random.Random(seed)
+        self._now = 0.0
+        self._born_at: float | None = None
+        self._out: list[Action] = []
+        self._machines: dict[MachineId, _Machine] = {}
+        self._tasks: dict[TaskId, _Task] = {}
+        self._attempts: dict[tuple[TaskId, int], _Attempt] = {}
+        self._services: dict[int, dict[tuple[TaskId, int], _Attempt]] = {}
+        self._waiting: dict[TaskId, None] = {}
+        self._unlisted: dict[MachineId, list[_Attempt]] = {}
+        self._wake_set = False
+        self._list_fails = 0
+        self._list_asked = False
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event at time `now` and return the actions, in the order in which they are to be done."""
+        self._now = max(now, self._now)
+        if self._born_at is None:
+            self._born_at = self._now
+            if self._settings.list_on_request:
+                self._ask_list()
+        match event:
+            case TaskArrived():
+                self._arrived(event)
+            case AttemptClosed():
+                self._closed(event)
+            case TaskPlaced():
+                self._placed(event)
+            case TimerFired():
+                self._timer(event.token)
+            case MachineList():
+                self._listed(event)
+            case TaskNote():
+                self._noted(event)
+            case TaskFound():
+                self._found(event)
+            case TaskWithdrawn():
+                self._withdrawn(event.task)
+            case ProbeAnswered():
+                self._take_load(event.machine, event.load)
+        out, self._out = self._out, []
+        return out
+
+    # ---- Guardrail counters ---------------------------------------------------------------------------
+
+    def _load_estimate(self) -> float:
+        """The paper's load: the asked share of cores in the view, capped."""
+        ready = [m for m in self._machines.values() if m.ready]
+        cores = sum(m.cores for m in ready)
+        asked = sum(m.asked(self._now)[0] for m in ready)
+        return min(LOAD_CAP, asked / cores) if cores else LOAD_CAP
+
+    def _rank(self, size: float) -> tuple[int, float]:
+        """The rank of a size and the upper end of that rank, by the paper's rank width."""
+        width = 1 + 1 / (1 + math.log(1 / (1 - self._load_estimate())))
+        rank = math.floor(math.log(size, width))
+        return rank, width ** (rank + 1)
+
+    def _lower_counters(self, machine: _Machine) -> None:
+        """Each rank's lowest counter: for an empty machine, and for one that is new or returns."""
+        others = [m for m in self._machines.values() if m.ready and m is not machine]
+        for rank in {rank: None for m in others for rank in m.counters}:
+            machine.counters[rank] = min(m.counters.get(rank, 0.0) for m in others)
+
+    def _count(self, machine: _Machine, rank: int, size: float) -> None:
+        """An offer raises the counter by the time that the size takes there; a refusal does not lower it."""
+        ready = [m.cores for m in self._machines.values() if m.ready]
+        mean = sum(ready) / len(ready) if ready else machine.cores
+        machine.counters[rank] = machine.counters.get(rank, 0.0) + size * mean / machine.cores
+
+    # ---- Filters --------------------------------------------------------------------------------------
+
+    def _fits_kind(self, task: _Task, machine: _Machine) -> bool:
+        return task.cls.needs_kind is None or machine.view.kind == task.cls.needs_kind
+
+    def _fits_spread(self, task: _Task, machine: _Machine) -> bool:
+        """Own attempts and tasks of the service in that place, this one included, stay within the most.
+
+        One on a machine that no list has named yet may lie anywhere, so it counts everywhere.
+        """
+        if task.cls.apart is Place.NONE:
+            return True
+        place = _place(machine, task.cls.apart)
+        there = sum(
+            1
+            for attempt in self._services.get(task.service, {}).values()
+            if attempt.machine is None or _place(attempt.machine, task.cls.apart) == place
+        )
+        return there + 1 <= task.cls.together_max
+
+    def _fits_effect(self, task: _Task, machine: _Machine) -> bool:
+        """After an attempt that may have run: only where the repeat does no harm, and only in time."""
+        if task.cls.effect is Effect.SAFE or not task.maybe_ran:
+            return True
+        if task.cls.effect is Effect.UNSAFE:
+            return False
+        return all(
+            self._now <= earlier.sent_at + task.cls.window_ms - self._settings.tick_ms
+            and earlier.machine is not None
+            and _place(earlier.machine, task.cls.group) == _place(machine, task.cls.group)
+            for earlier in task.maybe_ran
+        )
+
+    def _fits_room(self, task: _Task, machine: _Machine) -> bool:
+        if self._now < machine.full_until and (
+            task.cores >= machine.full_cores or task.memory >= machine.full_memory
+        ):
+            return False
+        cores, memory = machine.asked(self._now)
+        return (
+            cores + task.cores <= self._settings.accepts_cores * machine.cores
+            and memory + task.memory <= self._settings.accepts_memory * machine.memory
+        )
+
+    # ---- Pick -----------------------------------------------------------------------------------------
+
+    def _candidates(self, task: _Task) -> list[_Machine]:
+        """Machines that pass the filters; those that just refused the task or are set aside come last."""
+        allowed = [
+            m
+            for m in self._machines.values()
+            if m.ready
+            and self._fits_kind(task, m)
+            and self._fits_effect(task, m)
+            and self._fits_cold(m)
+            and self._fits_room(task, m)
+            and self._fits_spread(task, m)
+        ]
+        healthy = [m for m in allowed if self._fits_health(m)]
+        fresh = [m for m in healthy if m.id not in task.refused_by]
+        return fresh or healthy or [m for m in allowed if not m.open]
+
+    def _pick(self, task: _Task) -> _Machine | None:
+        passing = self._candidates(task)
+        if not passing:
+            return None
+        size = task.cores / self._settings.mean_cores
+        rank, top = self._rank(size)
+        lowest = min(m.counters.get(rank, 0.0) for m in passing)
+        for machine in self._machines.values():  # one left out for now returns at the pace of the others
+            if machine.ready and not (self._fits_health(machine) and self._fits_room(task, machine)):
+                machine.counters[rank] = max(lowest, machine.counters.get(rank, 0.0))
+        safe = [m for m in passing if m.counters.get(rank, 0.0) + size <= lowest + TIGHTNESS * top]
+        safe = safe or [m for m in passing if m.counters.get(rank, 0.0) == lowest]
+        asked = [m.asked(self._now)[0] for m in safe]
+        near = [m for m, cores in zip(safe, asked, strict=True) if cores <= min(asked) + task.cores]
+        machine = near[self._random.randrange(len(near))]
+        self._count(machine, rank, size)
+        return machine
+
+    # ---- Attempts -------------------------------------------------------------------------------------
+
+    def _arrived(self, event: TaskArrived) -> None:
+        if event.task in self._tasks or not 0 <= event.cls < len(self._settings.classes):
+            return
+        cls = self._settings.classes[event.cls]
+        task = _Task(event.task, cls, event.service, event.cores, event.memory)
+        task.deadline = self._now + event.patience_ms - 2 * self._settings.tick_ms
+        self._tasks[task.id] = task
+        self._out.append(SetTimer(max(self._now, task.deadline), task.id << 2 | DEADLINE))
+        self._try(task)
+
+    def _try(self, task: _Task) -> None:
+        """Offer the task to the machine picked, wait where none passes, or give the final answer."""
+        self._waiting.pop(task.id, None)
+        if task.answered:
+            return
+        hopeless = task.maybe_ran and (
+            task.cls.effect is Effect.UNSAFE
+            or not any(m.ready and self._fits_effect(task, m) for m in self._machines.values())
+        )
+        if self._now >= task.deadline or task.sent >= self._settings.max_attempts or hopeless:
+            self._answer(task)
+            return
+        machine = self._pick(task)
+        if machine is None:
+            self._waiting[task.id] = None
+            self._set_wake()
+            return
+        attempt = _Attempt(task, task.sent, machine, self._now)
+        self._keep(attempt)
+        task.sent += 1
+        machine.last_bind = self._now
+        machine.offers.append(self._now)
+        machine.note_change(self._now, task.cores, task.memory)
+        self._out.append(Bind(task.id, machine.id, self._time_out(task)))
+
+    def _time_out(self, task: _Task) -> float:
+        """Half of what is left where another attempt may follow a silent one, else all of it."""
+        left = task.deadline - self._now
+        if task.cls.effect is Effect.UNSAFE or task.sent >= self._settings.max_attempts:
+            return left
+        if task.cls.effect is Effect.KEYED:
+            left = min(left, task.cls.window_ms)
+        return max(self._settings.tick_ms, left / 2)
+
+    def _answer(self, task: _Task) -> None:
+        """The one final answer: a refusal where it is known that asking again does no harm."""
+        task.answered = True
+        self._waiting.pop(task.id, None)
+        self._tasks.pop(task.id, None)
+        out = [a for n in range(task.sent) if (a := self._attempts.get((task.id, n))) and not a.placed]
+        if self._settings.may_cancel:
+            self._out.extend(CancelAttempt(task.id, attempt.number) for attempt in out)
+        harmless = (
+            task.cls.effect is Effect.SAFE
+            or not (task.maybe_ran or out)
+            or (task.cls.effect is Effect.KEYED and task.cls.group is Place.ALL)
+        )
+        self._out.append(Refuse(task.id) if harmless else Fail(task.id))
+
+    def _keep(self, attempt: _Attempt) -> None:
+        key = attempt.task.id, attempt.number
+        self._attempts[key] = attempt
+        self._services.setdefault(attempt.task.service, {})[key] = attempt
+        if attempt.machine is not None:
+            attempt.machine.open[key] = attempt
+
+    def _closed(self, event: AttemptClosed) -> None:
+        self._take_load(event.machine, event.load)
+        key = event.task, event.attempt
+        attempt = self._attempts.pop(key, None)
+        if attempt is None:
+            return
+        task = attempt.task
+        of_service = self._services[task.service]
+        del of_service[key]
+        if not of_service:
+            del self._services[task.service]
+        machine = attempt.machine
+        if machine is not None:
+            machine.open.pop(key, None)
+            if attempt.placed or event.end in NEVER_RAN:
+                machine.note_change(self._now, -task.cores, -task.memory)
+            self._judge(machine, attempt, event)
+        if event.end is End.REFUSED and machine is not None:
+            task.refused_by[machine.id] = None
+            self._take_refusal(task, machine, event.reason)
+        elif event.end not in NEVER_RAN:
+            task.maybe_ran.append(attempt)
+        if event.task_over:
+            task.answered = True
+            self._tasks.pop(task.id, None)
+            self._waiting.pop(task.id, None)
+        else:
+            self._try(task)
+
+    def _take_refusal(self, task: _Task, machine: _Machine, reason: Reason) -> None:
+        """The view overstates this machine's room: nothing as large goes there until it could catch up."""
+        machine.full_until = self._now + VIEW_LAG_MS
+        machine.full_cores = task.cores if reason is Reason.NO_CORES else math.inf
+        machine.full_memory = task.memory if reason is Reason.NO_MEMORY else math.inf
+
+    def _placed(self, event: TaskPlaced) -> None:
+        attempt = self._attempts.get((event.task, event.attempt))
+        if attempt is None or attempt.placed:
+            return
+        attempt.placed = True
+        attempt.task.answered = True
+        self._waiting.pop(event.task, None)
+        if self._settings.ack_when_running and attempt.machine is not None:
+            self._well(attempt.machine)
+
+    def _withdrawn(self, ident: TaskId) -> None:
+        task = self._tasks.pop(ident, None)
+        if task is not None:
+            task.answered = True
+            self._waiting.pop(ident, None)
+
+    def _set_wake(self) -> None:
+        if not self._wake_set:
+            self._wake_set = True
+            step = min(cls.aim_ms for cls in self._settings.classes) / 10  # late by a tenth of an aim at most
+            self._out.append(SetTimer(self._now + step, WAKE))
+
+    def _timer(self, token: int) -> None:
+        kind, ident = token & 3, token >> 2
+        if kind == WAKE:
+            self._wake_set = False
+            self._try_waiting()
+        elif kind == LIST_CALL and not self._list_asked:
+            self._ask_list()
+        elif kind == DEADLINE and (task := self._tasks.get(ident)) and not task.answered:
+            self._answer(task)
+
+    def _try_waiting(self) -> None:
+        """Those that wait go by priority, then by worth for what they ask, then by age."""
+        waiting = [self._tasks[ident] for ident in self._waiting]
+        stuck: dict[tuple[str, int | None, float, float], None] = {}
+        for task in sorted(waiting, key=lambda t: (-t.cls.priority, -t.cls.worth)):
+            service = None if task.cls.apart is Place.NONE else task.service
+            shape = task.cls.name, service, task.cores, task.memory
+            if shape not in stuck or task.maybe_ran:
+                self._try(task)
+                if task.id in self._waiting:
+                    stuck[shape] = None
+
+    # ---- Health ---------------------------------------------------------------------------------------
+
+    def _fits_health(self, machine: _Machine) -> bool:
+        """In use, or back on trial: once its time is over it gets one attempt until one went well."""
+        return not machine.strikes >= STRIKES or (self._now >= machine.aside_until and not machine.open)
+
+    def _well(self, machine: _Machine) -> None:
+        machine.strikes /= 2
+        if machine.strikes < STRIKES:
+            machine.aside_for = 0.0
+
+    def _judge(self, machine: _Machine, attempt: _Attempt, event: AttemptClosed) -> None:
+        """Silence and errors by count; a placed task lost without a word speaks of the whole machine."""
+        if event.end in (End.TIMED_OUT, End.UNREACHABLE, End.ERROR):
+            self._strike(machine, 1.0, event.end.value)
+        elif event.end is End.RESET and event.reason in (Reason.UNTOLD, Reason.SENT_AWAY):
+            self._strike(machine, STRIKES if attempt.placed else 1.0, event.end.value)
+
+    def _strike(self, machine: _Machine, weight: float, symptom: str) -> None:
+        machine.strikes = min(2 * STRIKES, machine.strikes + weight)
+        if machine.strikes < STRIKES or self._now < machine.aside_until:
+            return
+        ready = [m for m in self._machines.values() if m.ready]
+        aside = sum(m.cores for m in ready if m is machine or m.strikes >= STRIKES)
+        if aside > ASIDE_SHARE * sum(m.cores for m in ready):
+            machine.strikes = STRIKES / 2
+            return
+        machine.aside_for = max(VIEW_LAG_MS, min(2 * machine.aside_for, self._rules.cold_ms))
+        machine.aside_until = self._now + machine.aside_for
+        self._out.append(Log(f"machine {machine.id:x} set aside for {machine.aside_for:.0f} ms: {symptom}"))
+
+    def _noted(self, event: TaskNote) -> None:
+        attempt = self._attempts.get((event.task, event.attempt))
+        if attempt is not None and attempt.machine is not None and event.topic is Topic.RUNNING:
+            self._well(attempt.machine)
+
+    def _take_load(self, ident: MachineId, load: Load | None) -> None:
+        if load is not None and ident in self._machines:
+            self._machines[ident].load = load
+
+    # ---- Cold budget ----------------------------------------------------------------------------------
+
+    def _fits_cold(self, machine: _Machine) -> bool:
+        """This placer's share of the offers that a cold machine always bears, in every sliding window.
+
+        The shares of all placers add up to the told number. Refused offers count. The window is longer by
+        a connect time-out, as a connection may hold offers up; a placer that has just started may have
+        spent its share in its former life.
+        """
+        rules, settings = self._rules, self._settings
+        started = machine.view.started_at
+        if started <= 0 or self._now >= started + rules.cold_ms:
+            return True
+        window = rules.cold_window_ms + settings.connect_timeout_ms
+        if self._born_at is not None and self._now < self._born_at + window:
+            return False
+        while machine.offers and machine.offers[0] <= self._now - window:
+            machine.offers.popleft()
+        share, rest = divmod(int(rules.cold_offers), settings.siblings)
+        return len(machine.offers) < share + (settings.me < rest)
+
+    # ---- Discovery ------------------------------------------------------------------------------------
+
+    def _ask_list(self) -> None:
+        self._list_asked = True
+        self._out.append(Subscribe(True))
+
+    def _listed(self, event: MachineList) -> None:
+        if event.kind is ListKind.FAILED:
+            self._list_failed()
+            return
+        if event.kind is not ListKind.CACHED:
+            self._list_asked, self._list_fails = False, 0
+        named = {entry.id: None for entry in event.machines}
+        for entry in event.machines:
+            self._list_entry(entry)
+        if event.kind is not ListKind.CHANGES:
+            for machine in self._machines.values():
+                if machine.id not in named:
+                    machine.view = _gone(machine.view)
+        for ident in [m.id for m in self._machines.values() if m.view.state is MachineState.GONE]:
+            if not self._machines[ident].open:
+                del self._machines[ident]
+        self._try_waiting()
+
+    def _list_failed(self) -> None:
+        """Ask anew after a pause that doubles, with chance in it, and stays well inside the time to ask."""
+        self._list_asked = False
+        self._list_fails += 1
+        most = self._rules.ask_within_ms / 2 or VIEW_LAG_MS
+        pause = min(most, most / 16 * 2**self._list_fails) * (0.5 + self._random.random() / 2)
+        self._out.append(SetTimer(self._now + pause, LIST_CALL))
+
+    def _list_entry(self, entry: Machine) -> None:
+        if not 0 <= entry.kind < len(self._settings.kind_cores):
+            return
+        if not (math.isfinite(entry.free_cores) and math.isfinite(entry.free_memory)):
+            return
+        machine = self._machines.get(entry.id)
+        if machine is None:
+            cores, memory = self._settings.kind_cores[entry.kind], self._settings.kind_memory[entry.kind]
+            machine = self._machines[entry.id] = _Machine(entry, cores, memory)
+            self._adopt(machine)
+            self._lower_counters(machine)
+        else:
+            restarted = entry.started_at > machine.view.started_at
+            if restarted or (entry.state is MachineState.READY and not machine.ready):
+                self._lower_counters(machine)
+            if restarted:
+                machine.strikes = 0.0
+                machine.forget_recent()
+            machine.view = entry
+        machine.seen_at = self._now
+        empty = entry.free_cores >= machine.cores and not machine.open and self._now > machine.last_bind
+        if empty and self._settings.list_tells_free:
+            self._lower_counters(machine)
+
+    # ---- Placed tasks ---------------------------------------------------------------------------------
+
+    def _found(self, event: TaskFound) -> None:
+        """A task that runs already counts for spread, load and resets from now on."""
+        key = event.task, 0
+        if event.task in self._tasks or key in self._attempts:
+            return
+        if not 0 <= event.cls < len(self._settings.classes):
+            return
+        cls = self._settings.classes[event.cls]
+        task = _Task(event.task, cls, event.service, event.cores, event.memory)
+        task.answered, task.sent = True, 1
+        attempt = _Attempt(task, 0, self._machines.get(event.machine), self._now)
+        attempt.placed = True
+        self._tasks[task.id] = task
+        self._keep(attempt)
+        if attempt.machine is None:
+            self._unlisted.setdefault(event.machine, []).append(attempt)
+
+    def _adopt(self, machine: _Machine) -> None:
+        """Tasks found on a machine before the list named it."""
+        for attempt in self._unlisted.pop(machine.id, []):
+            if (attempt.task.id, attempt.number) in self._attempts:
+                attempt.machine = machine
+                machine.open[attempt.task.id, attempt.number] = attempt
+
+
+def _place(machine: _Machine, place: Place) -> int:
+    match place:
+        case Place.MACHINE:
+            return machine.id
+        case Place.CELL:
+            return machine.view.cell
+        case Place.ZONE:
+            return machine.view.zone
+    return 0
+
+
+def _gone(view: Machine) -> Machine:
+    return Machine(
+        view.id, view.kind, view.cell, view.zone, MachineState.GONE, view.free_cores, view.free_memory,
+        view.started_at,
+    )  # fmt: skip
--- /dev/null
+++ b/tests/test_placeholder.py
@@ -0,0 +1,5 @@
+from kelpfront import Scheduler
+
+
+def test_import() -> None:
+    assert callable(Scheduler.handle)
