--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,96 @@
+"""The guardrails mechanism on the ordinary path."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from helpers import Driver, machine, only, settings
+
+from kelpfront.interface import Bind, End, ListKind, MachineState
+
+
+def place_many(driver: Driver, tasks: range, cores: float = 1.0) -> Counter[int]:
+    counts: Counter[int] = Counter()
+    for task in tasks:
+        bound = driver.bind(task, cores=cores, after=20.0)
+        driver.place(task, 0, bound, after=5.0)
+        counts[bound] += 1
+    return counts
+
+
+def test_counters_bound_what_one_machine_gets_however_idle_it_looks() -> None:
+    driver = Driver(settings(kind_cores=(300.0,), kind_memory=(900.0,)))
+    driver.listing(machine(0, free_cores=290.0, free_memory=900.0), *(machine(n) for n in range(1, 4)))
+    counts = place_many(driver, range(40))
+    assert max(counts.values()) - min(counts.values()) <= 3
+
+
+def test_a_machine_of_twice_the_size_gets_twice_as_much() -> None:
+    driver = Driver(settings(accepts_cores=9.0, accepts_memory=9.0))
+    driver.listing(machine(0, kind=0), machine(1, kind=1, free_cores=40.0, free_memory=80.0))
+    counts = place_many(driver, range(90))
+    assert 1.7 < counts[1] / counts[0] < 2.4
+
+
+def test_the_least_loaded_of_the_safe_machines_is_picked() -> None:
+    driver = Driver()
+    driver.listing(machine(0, free_cores=2.0), machine(1, free_cores=25.0), machine(2, free_cores=3.0))
+    assert driver.bind(1) == 1
+
+
+def test_own_fresh_binds_are_added_to_the_view() -> None:
+    driver = Driver()
+    driver.listing(machine(0, free_cores=20.0), machine(1, free_cores=20.0))
+    assert driver.bind(1, cores=0.5) != driver.bind(2, cores=0.5)
+
+
+def test_a_machine_first_seen_later_or_returning_is_not_a_magnet() -> None:
+    driver = Driver()
+    driver.listing(machine(0), machine(1))
+    place_many(driver, range(20))
+    driver.listing(machine(2, free_cores=29.0), kind=ListKind.CHANGES)
+    counts = place_many(driver, range(20, 29))
+    assert counts[2] <= 5
+    driver.listing(machine(2, state=MachineState.DRAINING), kind=ListKind.CHANGES)
+    place_many(driver, range(30, 50))
+    driver.listing(machine(2, free_cores=29.0), kind=ListKind.CHANGES)
+    assert place_many(driver, range(50, 59))[2] <= 5
+
+
+def test_a_machine_is_reset_only_when_empty_and_nothing_of_ours_is_out() -> None:
+    driver = Driver()
+    empty = machine(0, free_cores=30.0, free_memory=50.0)
+    driver.listing(empty, machine(1, free_cores=1.0), machine(2, free_cores=1.0))
+    machines = driver.scheduler._machines
+    bound = driver.bind(1, cores=0.5)
+    assert bound == 0
+    driver.place(1, 0, 0)
+    (raised,) = machines[0].counters.values()
+    driver.listing(empty, kind=ListKind.CHANGES, after=5000.0)  # an old view: a task of ours runs there
+    assert list(machines[0].counters.values()) == [raised]
+    driver.close(1, 0, 0, End.ENDED, over=True)
+    driver.bind(2, cores=4.0)  # the others' counters come to have ranks of their own
+    driver.listing(empty, kind=ListKind.CHANGES, after=5000.0)
+    for rank, value in machines[0].counters.items():
+        if not machines[0].open:
+            assert value == min(machines[n].counters.get(rank, 0.0) for n in (1, 2))
+
+
+def test_a_refusal_does_not_lower_the_counter_and_the_task_goes_elsewhere() -> None:
+    driver = Driver()
+    driver.listing(machine(0, free_cores=29.0), machine(1))
+    first = driver.bind(1)
+    before = dict(driver.scheduler._machines[first].counters)
+    second = only(driver.close(1, 0, first, End.REFUSED, after=5.0), Bind).machine
+    assert second != first
+    assert driver.scheduler._machines[first].counters == before
+
+
+def test_the_same_events_give_the_same_actions() -> None:
+    def run() -> list[object]:
+        driver = Driver(seed=3)
+        driver.listing(*(machine(n) for n in range(6)))
+        place_many(driver, range(30))
+        return list(driver.done)
+
+    assert run() == run()
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,205 @@
+"""The five rules, each kept by one placer alone."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import Driver, machine, of, only, settings, task_class
+
+from kelpfront.interface import (
+    Bind,
+    CancelAttempt,
+    Effect,
+    End,
+    Fail,
+    ListKind,
+    MachineState,
+    Place,
+    Reason,
+    Refuse,
+    SetTimer,
+    TaskPlaced,
+    TimerFired,
+)
+
+FLEET = [machine(n) for n in range(12)]
+
+
+def deadline_timer(actions: list[object]) -> SetTimer:
+    return max((a for a in actions if isinstance(a, SetTimer)), key=lambda a: a.at)
+
+
+def test_deadline_with_an_attempt_out_is_answered_once_and_before_it() -> None:
+    driver = Driver(settings(task_class(Effect.UNSAFE)))
+    driver.listing(*FLEET)
+    actions = driver.arrive(5, patience_ms=3000.0)
+    start, bound, timer = driver.now, only(actions, Bind), deadline_timer(list(actions))
+    assert timer.at < start + 3000.0
+    answers = driver.send(TimerFired(timer.token), after=timer.at - start)
+    assert only(answers, Fail).task == 5
+    assert only(answers, CancelAttempt).attempt == 0
+    assert driver.close(5, 0, bound.machine, End.CANCELLED, over=True, after=1.0) == []
+
+
+def test_a_task_that_waits_to_its_deadline_is_refused() -> None:
+    driver = Driver()
+    driver.listing(machine(1, free_cores=-100.0))
+    actions = driver.arrive(5)
+    assert of(actions, Bind) == []
+    timer = deadline_timer(list(actions))
+    assert only(driver.send(TimerFired(timer.token), after=timer.at - driver.now), Refuse).task == 5
+
+
+@pytest.mark.parametrize(
+    ("effect", "group", "again"),
+    [
+        (Effect.SAFE, Place.ALL, "anywhere"),
+        (Effect.UNSAFE, Place.ALL, "nowhere"),
+        (Effect.KEYED, Place.ALL, "anywhere"),
+        (Effect.KEYED, Place.ZONE, "zone"),
+        (Effect.KEYED, Place.CELL, "cell"),
+    ],
+)
+@pytest.mark.parametrize("end", [End.TIMED_OUT, End.ERROR, End.RESET])
+def test_an_attempt_that_may_have_run_bounds_the_next(
+    effect: Effect, group: Place, again: str, end: End
+) -> None:
+    by_id = {m.id: m for m in FLEET}
+    for seed in range(8):
+        driver = Driver(settings(task_class(effect, group=group)), seed)
+        driver.listing(*FLEET)
+        first = driver.bind(5)
+        actions = driver.close(5, 0, first, end, after=100.0)
+        if again == "nowhere":
+            assert only(actions, Fail).task == 5
+            continue
+        second = only(actions, Bind).machine
+        assert second != first
+        if again == "zone":
+            assert by_id[second].zone == by_id[first].zone
+        if again == "cell":
+            assert by_id[second].cell == by_id[first].cell
+
+
+def test_a_keyed_task_is_not_sent_again_after_its_window() -> None:
+    driver = Driver(settings(task_class(Effect.KEYED, window_ms=500.0)))
+    driver.listing(*FLEET)
+    first = driver.bind(5)
+    assert only(driver.close(5, 0, first, End.TIMED_OUT, after=600.0), Fail).task == 5
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_refused_offer_may_follow_for_every_effect(effect: Effect) -> None:
+    driver = Driver(settings(task_class(effect)))
+    driver.listing(*FLEET)
+    first = driver.bind(5)
+    second = only(driver.close(5, 0, first, End.REFUSED, Reason.NO_CORES, after=5.0), Bind).machine
+    assert second != first
+
+
+@pytest.mark.parametrize(
+    ("effect", "group", "answer"),
+    [
+        (Effect.SAFE, Place.ALL, Refuse),
+        (Effect.KEYED, Place.ALL, Refuse),
+        (Effect.KEYED, Place.ZONE, Fail),
+        (Effect.UNSAFE, Place.ALL, Fail),
+    ],
+)
+def test_a_refusal_is_given_only_where_asking_again_does_no_harm(
+    effect: Effect, group: Place, answer: type
+) -> None:
+    driver = Driver(settings(task_class(effect, group=group), max_attempts=1))
+    driver.listing(*FLEET)
+    first = driver.bind(5)
+    actions = driver.close(5, 0, first, End.TIMED_OUT, after=5.0)
+    assert [type(a) for a in actions if isinstance(a, Refuse | Fail)] == [answer]
+
+
+def test_one_attempt_is_out_at_a_time() -> None:
+    driver = Driver()
+    driver.listing(*FLEET)
+    driver.bind(5)
+    assert of(driver.listing(*FLEET, after=50.0), Bind) == []
+
+
+def test_a_machine_that_drains_or_goes_while_a_task_waits_gets_nothing() -> None:
+    for state in (MachineState.DRAINING, MachineState.GONE):
+        driver = Driver()
+        driver.listing(machine(1, free_cores=-100.0))
+        driver.arrive(5)
+        driver.listing(machine(1, state=state, free_cores=25.0), kind=ListKind.CHANGES, after=10.0)
+        assert not any(isinstance(action, Bind) for _, action in driver.done)
+        driver.listing(machine(2), kind=ListKind.CHANGES, after=10.0)
+        assert [a.machine for _, a in driver.done if isinstance(a, Bind)] == [2]
+
+
+def test_a_machine_missing_from_a_full_list_is_gone() -> None:
+    driver = Driver()
+    driver.listing(machine(1), machine(2))
+    driver.listing(machine(2), after=10.0)
+    assert {driver.bind(n) for n in range(6)} == {2}
+
+
+def test_placers_at_their_full_share_together_keep_the_cold_budget() -> None:
+    offers = 0
+    base = settings()
+    for me in range(base.siblings):
+        driver = Driver(settings(me=me))
+        driver.listing(machine(1))
+        driver.now += 60_000.0
+        driver.listing(machine(1, started_at=driver.now - 10.0), kind=ListKind.CHANGES)
+        for n in range(30):
+            for bound in of(driver.arrive(n, after=10.0), Bind):
+                offers += 1
+                driver.close(n, 0, bound.machine, End.REFUSED, Reason.QUEUE_FULL)
+    assert 0 < offers <= base.rules.cold_offers
+
+
+def test_a_placer_that_just_started_sends_a_cold_machine_nothing() -> None:
+    driver = Driver()
+    driver.listing(machine(1, started_at=driver.now - 10.0), kind=ListKind.CACHED)
+    assert of(driver.arrive(5), Bind) == []
+
+
+@pytest.mark.parametrize("place", [Place.MACHINE, Place.CELL, Place.ZONE])
+def test_found_tasks_count_for_the_spread(place: Place) -> None:
+    driver = Driver(settings(task_class(apart=place, together_max=2)))
+    driver.listing(machine(0), machine(100, cell=50, zone=9))
+    driver.find(1, 0)
+    driver.find(2, 0)
+    assert {driver.bind(n) for n in (10, 11)} == {100}
+    assert of(driver.arrive(12), Bind) == []
+
+
+def test_a_task_found_on_a_machine_that_no_list_named_counts_everywhere() -> None:
+    driver = Driver(settings(task_class(apart=Place.CELL, together_max=1)))
+    driver.listing(machine(0), machine(6))
+    driver.find(1, 6_000)
+    assert of(driver.arrive(12), Bind) == []
+    driver.listing(machine(0), machine(6), machine(6_000), after=5.0)
+    assert len([a for _, a in driver.done if isinstance(a, Bind)]) == 1
+
+
+def test_an_attempt_given_up_counts_for_the_spread_until_it_closes() -> None:
+    driver = Driver(settings(task_class(apart=Place.MACHINE, together_max=1)))
+    driver.listing(machine(1))
+    actions = driver.arrive(5)
+    timer = deadline_timer(list(actions))
+    driver.send(TimerFired(timer.token), after=timer.at - driver.now)
+    assert of(driver.arrive(6), Bind) == []
+    driver.close(5, 0, 1, End.CANCELLED, over=True)
+    driver.listing(machine(1), after=5.0)
+    assert any(isinstance(a, Bind) and a.task == 6 for _, a in driver.done)
+
+
+def test_unknown_repeated_and_late_events_change_nothing() -> None:
+    driver = Driver()
+    driver.listing(*FLEET)
+    first = driver.bind(5)
+    driver.place(5, 0, first, after=20.0)
+    assert driver.send(TaskPlaced(5, 0, first, 20.0)) == []
+    assert driver.close(99, 0, first, End.ENDED, over=True) == []
+    assert driver.close(5, 0, first, End.ENDED, over=True) == []
+    assert driver.close(5, 0, first, End.ENDED, over=True) == []
+    assert driver.send(TimerFired(5 << 2 | 2)) == []
+    assert driver.place(5, 0, first) == []
