--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -296,7 +296,7 @@
         near = [m for m, share in zip(safe, asked, strict=True) if share <= min(asked) + step]
         warm = [m for m in near if self._holds(m, task.service)]
         near = warm or near
-        machine = near[self._random.randrange(len(near))]
+        machine = min(near, key=lambda m: _home(task.service, m.id))
         self._count(machine, rank, size)
         return machine
 
@@ -606,6 +606,14 @@
     return 0
 
 
+def _home(service: int, machine: MachineId) -> int:
+    """A number that every placer computes alike: the lowest of a service's is its first home."""
+    mixed = (service ^ machine * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    mixed = (mixed ^ mixed >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    mixed = (mixed ^ mixed >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ mixed >> 31
+
+
 def _gone(view: Machine) -> Machine:
     return Machine(
         view.id, view.kind, view.cell, view.zone, MachineState.GONE, view.free_cores, view.free_memory,
