Room by use: filter machines whose reported use leaves the class's calm range or nears all memory

Falls back to the other filters when no machine has room by use. Harm: stale reports may shut out a machine that has room for up to LOAD_OLD_MS.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -51,6 +51,9 @@
 TIGHTNESS = 4.0  # g of the paper, whose section 5 finds the tightest best
 LOAD_CAP = 0.95  # above this the rank width hardly changes, while the estimate is late
 VIEW_LAG_MS = 1500.0  # how long an own bind may be missing from the view: report, list and network delays
+LOAD_OLD_MS = 4000.0  # a report older than this says less than what is asked does: tasks live for seconds
+LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
+MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 
@@ -65,8 +68,8 @@
 
     __slots__ = (
         "aside_for", "aside_until", "cores", "counters", "full_cores", "full_memory", "full_until", "id",
-        "last_bind", "load", "memory", "offers", "open", "recent", "recent_cores", "recent_memory", "seen_at",
-        "strikes", "view",
+        "last_bind", "load", "load_at", "memory", "offers", "open", "recent", "recent_cores", "recent_memory",
+        "recent_use", "seen_at", "strikes", "view",
     )  # fmt: skip
 
     def __init__(self, view: Machine, cores: float, memory: float) -> None:
@@ -82,6 +85,8 @@
         self.recent_cores = self.recent_memory = 0.0
         self.offers: deque[float] = deque()
         self.load: Load | None = None
+        self.load_at = -math.inf
+        self.recent_use: deque[tuple[float, float, float]] = deque()  # as `recent`, in expected use
         self.full_until = -math.inf
         self.full_cores = self.full_memory = math.inf
         self.strikes = 0.0
@@ -107,8 +112,28 @@
         asked_memory = self.memory - self.view.free_memory + self.recent_memory
         return max(0.0, asked_cores), max(0.0, asked_memory)
 
+    def note_use(self, now: float, cores: float, memory: float) -> None:
+        self.recent_use.append((now, cores, memory))
+
+    def used(self, now: float, ratios: tuple[float, float]) -> tuple[float, float]:
+        """Cores and memory in use soon: the machine's report with own changes since, else what is asked."""
+        while self.recent_use and self.recent_use[0][0] <= max(self.load_at, now - LOAD_OLD_MS) - VIEW_LAG_MS:
+            self.recent_use.popleft()
+        asked_cores, asked_memory = self.asked(now)
+        cores, memory = asked_cores * ratios[0], asked_memory * ratios[1]
+        load = self.load
+        if load is not None and now - self.load_at <= LOAD_OLD_MS:
+            if load.free_cores is not None:
+                cores = self.cores - load.free_cores + sum(change[1] for change in self.recent_use)
+            if load.free_memory is not None:
+                told = self.memory - load.free_memory + sum(change[2] for change in self.recent_use)
+                memory = max(memory, told)  # young tasks still grow into what they will use
+        return max(0.0, cores), max(0.0, memory)
+
     def forget_recent(self) -> None:
         self.recent.clear()
+        self.recent_use.clear()
+        self.load = None
         self.recent_cores = self.recent_memory = 0.0
 
 
@@ -156,6 +181,8 @@
         self._attempts: dict[tuple[TaskId, int], _Attempt] = {}
         self._services: dict[int, dict[tuple[TaskId, int], _Attempt]] = {}
         self._waiting: dict[TaskId, None] = {}
+        self._ratios = [1.0, 1.0]  # of use to what is asked, cores and memory, over all own tasks
+        self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[MachineId, list[_Attempt]] = {}
         self._wake_set = False
         self._list_fails = 0
@@ -261,6 +288,20 @@
             and memory + task.memory <= self._settings.accepts_memory * machine.memory
         )
 
+    def _expected(self, task: _Task) -> tuple[float, float]:
+        """Cores and memory that the task will use, from what its service's own tasks use."""
+        ratios = self._service_ratios.get(task.service, self._ratios)
+        return task.cores * ratios[0], task.memory * ratios[1]
+
+    def _fits_use(self, task: _Task, machine: _Machine) -> bool:
+        """Room by use: the class is served in full there with this task, and memory will not run out."""
+        cores, memory = machine.used(self._now, (self._ratios[0], self._ratios[1]))
+        more_cores, more_memory = self._expected(task)
+        return (
+            cores + more_cores <= task.cls.calm * machine.cores
+            and memory + more_memory <= MEMORY_SAFE * machine.memory
+        )
+
     # ---- Pick -----------------------------------------------------------------------------------------
 
     def _candidates(self, task: _Task) -> list[_Machine]:
@@ -277,7 +318,8 @@
         ]
         healthy = [m for m in allowed if self._fits_health(m)]
         fresh = [m for m in healthy if m.id not in task.refused_by]
-        return fresh or healthy or [m for m in allowed if not m.open]
+        calm = [m for m in fresh if self._fits_use(task, m)]
+        return calm or fresh or healthy or [m for m in allowed if not m.open]
 
     def _pick(self, task: _Task) -> _Machine | None:
         passing = self._candidates(task)
@@ -339,6 +381,7 @@
         machine.last_bind = self._now
         machine.offers.append(self._now)
         machine.note_change(self._now, task.cores, task.memory)
+        machine.note_use(self._now, *self._expected(task))
         self._out.append(Bind(task.id, machine.id, self._time_out(task)))
 
     def _time_out(self, task: _Task) -> float:
@@ -388,6 +431,8 @@
             machine.open.pop(key, None)
             if attempt.placed or event.end in NEVER_RAN:
                 machine.note_change(self._now, -task.cores, -task.memory)
+                cores, memory = self._expected(task)
+                machine.note_use(self._now, -cores, -memory)
             self._judge(machine, attempt, event)
         if event.end is End.REFUSED and machine is not None:
             task.refused_by[machine.id] = None
@@ -484,12 +529,25 @@
 
     def _noted(self, event: TaskNote) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
-        if attempt is not None and attempt.machine is not None and event.topic is Topic.RUNNING:
+        if attempt is None or attempt.machine is None or not math.isfinite(event.value):
+            return
+        task = attempt.task
+        if event.topic is Topic.RUNNING:
             self._well(attempt.machine)
+        elif event.topic is Topic.CORES_USED:
+            self._learn(task.service, 0, event.value / task.cores)
+        elif event.topic is Topic.MEMORY_USED:
+            self._learn(task.service, 1, event.value / task.memory)
+
+    def _learn(self, service: int, which: int, ratio: float) -> None:
+        self._ratios[which] += LEARN * (ratio - self._ratios[which])
+        of_service = self._service_ratios.setdefault(service, list(self._ratios))
+        of_service[which] += (ratio - of_service[which]) / 4  # follows its own changes within a few notes
 
     def _take_load(self, ident: MachineId, load: Load | None) -> None:
         if load is not None and ident in self._machines:
             self._machines[ident].load = load
+            self._machines[ident].load_at = self._now
 
     # ---- Cold budget ----------------------------------------------------------------------------------
 
