Derived tightness, near equals by full service, moves of tasks hardly served

A task served under 0.3 moves where another machine has room by use. A machine where an attempt of the task ended comes last for the next (a test showed a timed-out machine picked again). Tried and not kept: fixed tightness 8, 16, 32; least use, or wider bands, where none serves in full (within noise, more constants).

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -28,6 +28,7 @@
     MachineId,
     MachineList,
     MachineState,
+    Move,
     Place,
     ProbeAnswered,
     Reason,
@@ -48,12 +49,12 @@
 
 # ---- Tunables, each with its reason -----------------------------------------------------------------
 
-TIGHTNESS = 4.0  # g of the paper, whose section 5 finds the tightest best
 LOAD_CAP = 0.95  # above this the rank width hardly changes, while the estimate is late
 VIEW_LAG_MS = 1500.0  # how long an own bind may be missing from the view: report, list and network delays
 LOAD_OLD_MS = 4000.0  # a report older than this says less than what is asked does: tasks live for seconds
 LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
 MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
+MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 
@@ -68,8 +69,8 @@
 
     __slots__ = (
         "aside_for", "aside_until", "cores", "counters", "full_cores", "full_memory", "full_until", "id",
-        "last_bind", "load", "load_at", "memory", "offers", "open", "recent", "recent_cores", "recent_memory",
-        "recent_use", "seen_at", "strikes", "view",
+        "last_bind", "load", "load_at", "memory", "moved_at", "offers", "open", "recent", "recent_cores",
+        "recent_memory", "recent_use", "seen_at", "strikes", "view",
     )  # fmt: skip
 
     def __init__(self, view: Machine, cores: float, memory: float) -> None:
@@ -89,6 +90,7 @@
         self.recent_use: deque[tuple[float, float, float]] = deque()  # as `recent`, in expected use
         self.full_until = -math.inf
         self.full_cores = self.full_memory = math.inf
+        self.moved_at = -math.inf
         self.strikes = 0.0
         self.aside_for = 0.0
         self.aside_until = -math.inf
@@ -150,7 +152,7 @@
 
 class _Task:
     __slots__ = (
-        "answered", "cls", "cores", "deadline", "id", "maybe_ran", "memory", "refused_by", "sent", "service",
+        "answered", "cls", "cores", "deadline", "id", "maybe_ran", "memory", "sent", "service", "tried",
     )  # fmt: skip
 
     def __init__(self, ident: TaskId, cls: TaskClass, service: int, cores: float, memory: float) -> None:
@@ -161,7 +163,7 @@
         self.memory = memory
         self.deadline = math.inf
         self.sent = 0
-        self.refused_by: dict[MachineId, None] = {}
+        self.tried: dict[MachineId, None] = {}
         self.maybe_ran: list[_Attempt] = []
         self.answered = False
 
@@ -173,6 +175,10 @@
         self._settings = settings
         self._rules = settings.rules
         self._random = random.Random(seed)
+        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. Tighter
+        # leaves no choice for cheap starts; looser would let one placer alone fill a machine.
+        smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
+        self._tightness = max(1.0, smallest / settings.siblings)
         self._now = 0.0
         self._born_at: float | None = None
         self._out: list[Action] = []
@@ -317,7 +323,7 @@
             and self._fits_spread(task, m)
         ]
         healthy = [m for m in allowed if self._fits_health(m)]
-        fresh = [m for m in healthy if m.id not in task.refused_by]
+        fresh = [m for m in healthy if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
         return calm or fresh or healthy or [m for m in allowed if not m.open]
 
@@ -331,17 +337,20 @@
         for machine in self._machines.values():  # one left out for now returns at the pace of the others
             if machine.ready and not (self._fits_health(machine) and self._fits_room(task, machine)):
                 machine.counters[rank] = max(lowest, machine.counters.get(rank, 0.0))
-        safe = [m for m in passing if m.counters.get(rank, 0.0) + size <= lowest + TIGHTNESS * top]
+        safe = [m for m in passing if m.counters.get(rank, 0.0) + size <= lowest + self._tightness * top]
         safe = safe or [m for m in passing if m.counters.get(rank, 0.0) == lowest]
-        asked = [m.asked(self._now)[0] / m.cores for m in safe]  # work left in units of time, as in 6.4
-        step = 4 * task.cores / min(m.cores for m in safe)
-        near = [m for m, share in zip(safe, asked, strict=True) if share <= min(asked) + step]
-        warm = [m for m in near if self._holds(m, task.service)]
-        near = warm or near
+        near = [m for m in safe if self._fits_use(task, m)] or self._least_loaded(task, safe)
+        near = [m for m in near if self._holds(m, task.service)] or near
         machine = min(near, key=lambda m: _home(task.service, m.id))
         self._count(machine, rank, size)
         return machine
 
+    def _least_loaded(self, task: _Task, safe: list[_Machine]) -> list[_Machine]:
+        """The paper's least work left, in units of time (6.4), with those that one task would even out."""
+        asked = [m.asked(self._now)[0] / m.cores for m in safe]
+        step = task.cores / min(m.cores for m in safe)
+        return [m for m, share in zip(safe, asked, strict=True) if share <= min(asked) + step]
+
     def _holds(self, machine: _Machine, service: int) -> bool:
         """Whether the machine holds a task of the service, so that a start there is cheap."""
         return any(a.machine is machine for a in self._services.get(service, {}).values())
@@ -434,8 +443,8 @@
                 cores, memory = self._expected(task)
                 machine.note_use(self._now, -cores, -memory)
             self._judge(machine, attempt, event)
+        task.tried[event.machine] = None
         if event.end is End.REFUSED and machine is not None:
-            task.refused_by[machine.id] = None
             self._take_refusal(task, machine, event.reason)
         elif event.end not in NEVER_RAN:
             task.maybe_ran.append(attempt)
@@ -534,11 +543,23 @@
         task = attempt.task
         if event.topic is Topic.RUNNING:
             self._well(attempt.machine)
+        elif event.topic is Topic.SERVICE:
+            self._relieve(attempt, event.value)
         elif event.topic is Topic.CORES_USED:
             self._learn(task.service, 0, event.value / task.cores)
         elif event.topic is Topic.MEMORY_USED:
             self._learn(task.service, 1, event.value / task.memory)
 
+    def _relieve(self, attempt: _Attempt, share: float) -> None:
+        """Move a task that its machine hardly serves, where another machine has room for it by use."""
+        task, machine = attempt.task, attempt.machine
+        if machine is None or not attempt.placed or share >= MOVE_BELOW:
+            return
+        others = [m for m in self._candidates(task) if m is not machine]
+        if self._now >= machine.moved_at + VIEW_LAG_MS and any(self._fits_use(task, m) for m in others):
+            machine.moved_at = self._now
+            self._out.append(Move(task.id))
+
     def _learn(self, service: int, which: int, ratio: float) -> None:
         self._ratios[which] += LEARN * (ratio - self._ratios[which])
         of_service = self._service_ratios.setdefault(service, list(self._ratios))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,10 +3,29 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Any
 
-from helpers import Driver, machine, only, settings
+import pytest
+from helpers import Driver, machine, only, settings, task_class
 
-from kelpfront.interface import Bind, End, ListKind, MachineState
+from kelpfront.interface import (
+    AttemptClosed,
+    Bind,
+    End,
+    ListKind,
+    Load,
+    MachineState,
+    Move,
+    Reason,
+    Settings,
+    TaskNote,
+    Topic,
+)
+
+
+def crowded(**changes: Any) -> Settings:
+    """No machine serves in full, so the least-loaded pick decides; as many placers as make g one."""
+    return settings(task_class(calm=0.01), siblings=1000, **changes)
 
 
 def place_many(driver: Driver, tasks: range, cores: float = 1.0) -> Counter[int]:
@@ -19,33 +38,33 @@
 
 
 def test_counters_bound_what_one_machine_gets_however_idle_it_looks() -> None:
-    driver = Driver(settings(kind_cores=(300.0,), kind_memory=(900.0,)))
+    driver = Driver(crowded(kind_cores=(300.0,), kind_memory=(900.0,)))
     driver.listing(machine(0, free_cores=290.0, free_memory=900.0), *(machine(n) for n in range(1, 4)))
     counts = place_many(driver, range(40))
     assert max(counts.values()) - min(counts.values()) <= 3
 
 
 def test_a_machine_of_twice_the_size_gets_twice_as_much() -> None:
-    driver = Driver(settings(accepts_cores=9.0, accepts_memory=9.0))
+    driver = Driver(crowded(accepts_cores=9.0, accepts_memory=9.0))
     driver.listing(machine(0, kind=0), machine(1, kind=1, free_cores=40.0, free_memory=80.0))
     counts = place_many(driver, range(90))
     assert 1.7 < counts[1] / counts[0] < 2.4
 
 
 def test_the_least_loaded_of_the_safe_machines_is_picked() -> None:
-    driver = Driver()
+    driver = Driver(crowded())
     driver.listing(machine(0, free_cores=2.0), machine(1, free_cores=25.0), machine(2, free_cores=3.0))
     assert driver.bind(1) == 1
 
 
 def test_own_fresh_binds_are_added_to_the_view() -> None:
-    driver = Driver()
+    driver = Driver(crowded())
     driver.listing(machine(0, free_cores=20.0), machine(1, free_cores=20.0))
     assert driver.bind(1, cores=0.5) != driver.bind(2, cores=0.5)
 
 
 def test_a_machine_first_seen_later_or_returning_is_not_a_magnet() -> None:
-    driver = Driver()
+    driver = Driver(crowded())
     driver.listing(machine(0), machine(1))
     place_many(driver, range(20))
     driver.listing(machine(2, free_cores=29.0), kind=ListKind.CHANGES)
@@ -94,3 +113,50 @@
         return list(driver.done)
 
     assert run() == run()
+
+
+def test_a_start_goes_where_the_service_runs_while_that_machine_serves_in_full() -> None:
+    driver = Driver()
+    driver.listing(*(machine(n, free_cores=28.0, free_memory=48.0) for n in range(6)))
+    driver.find(100, 4, service=9)
+    assert {driver.bind(n, service=9, after=50.0) for n in range(3)} == {4}
+
+
+def test_placers_that_know_nothing_of_each_other_choose_the_same_home() -> None:
+    homes = set()
+    for me in range(3):
+        driver = Driver(settings(me=me), seed=me)
+        driver.listing(*(machine(n, free_cores=28.0, free_memory=48.0) for n in range(6)))
+        homes.add(driver.bind(1, service=9))
+    assert len(homes) == 1
+
+
+@pytest.mark.parametrize(("age", "passed_over"), [(0.0, True), (5000.0, False)])
+def test_a_machine_crowded_by_use_is_passed_over_though_little_is_asked(
+    age: float, passed_over: bool
+) -> None:
+    driver = Driver()
+    driver.listing(*(machine(n, free_cores=28.0, free_memory=48.0) for n in range(3)))
+    driver.find(100, 2, service=9)
+    driver.send(AttemptClosed(77, 0, 2, End.ENDED, Reason.UNTOLD, True, 5.0, Load(1.0, 40.0)))
+    assert (driver.bind(1, service=9, after=age) != 2) == passed_over
+
+
+def test_memory_that_runs_short_by_use_shuts_a_machine_out() -> None:
+    driver = Driver()
+    driver.listing(machine(0, free_memory=30.0), machine(1, free_memory=30.0))
+    driver.find(100, 1, service=9)
+    driver.send(AttemptClosed(77, 0, 1, End.ENDED, Reason.UNTOLD, True, 5.0, Load(20.0, 2.0)))
+    assert driver.bind(1, service=9) == 0
+
+
+def test_a_task_hardly_served_is_moved_where_another_machine_has_room() -> None:
+    driver = Driver()
+    driver.listing(machine(0))
+    first = driver.bind(1)
+    driver.place(1, 0, first)
+    assert driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.05), after=3000.0) == []
+    driver.listing(machine(0), machine(1), after=10.0)
+    assert driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.9)) == []
+    assert only(driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.05)), Move).task == 1
+    assert driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.05)) == []
