--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -179,6 +179,7 @@
         # leaves no choice for cheap starts; looser would let one placer alone fill a machine.
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
         self._tightness = max(1.0, smallest / settings.siblings)
+        self._lowest_priority = min(cls.priority for cls in settings.classes)
         self._now = 0.0
         self._born_at: float | None = None
         self._out: list[Action] = []
@@ -289,6 +290,9 @@
         ):
             return False
         cores, memory = machine.asked(self._now)
+        unseen = self._settings.siblings - 1  # the other placers' fresh binds, taken to be as many as ours
+        cores += unseen * max(0.0, machine.recent_cores)
+        memory += unseen * max(0.0, machine.recent_memory)
         return (
             cores + task.cores <= self._settings.accepts_cores * machine.cores
             and memory + task.memory <= self._settings.accepts_memory * machine.memory
@@ -319,9 +323,11 @@
             and self._fits_kind(task, m)
             and self._fits_effect(task, m)
             and self._fits_cold(m)
-            and self._fits_room(task, m)
             and self._fits_spread(task, m)
         ]
+        roomy = [m for m in allowed if self._fits_room(task, m)]
+        if roomy or not (self._settings.pushes_out and task.cls.priority > self._lowest_priority):
+            allowed = roomy
         healthy = [m for m in allowed if self._fits_health(m)]
         fresh = [m for m in healthy if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
@@ -346,8 +352,15 @@
         return machine
 
     def _least_loaded(self, task: _Task, safe: list[_Machine]) -> list[_Machine]:
-        """The paper's least work left, in units of time (6.4), with those that one task would even out."""
-        asked = [m.asked(self._now)[0] / m.cores for m in safe]
+        """The paper's least work left, as a share of what the machine accepts (6.4: units of time).
+
+        Of cores or memory, whichever is nearer to its end; with those that one task would even out.
+        """
+        limits = self._settings.accepts_cores, self._settings.accepts_memory
+        asked = []
+        for machine in safe:
+            cores, memory = machine.asked(self._now)
+            asked.append(max(cores / machine.cores / limits[0], memory / machine.memory / limits[1]))
         step = task.cores / min(m.cores for m in safe)
         return [m for m, share in zip(safe, asked, strict=True) if share <= min(asked) + step]
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from typing import Any
 
 import pytest
-from helpers import Driver, machine, only, settings, task_class
+from helpers import Driver, machine, of, only, settings, task_class
 
 from kelpfront.interface import (
     AttemptClosed,
@@ -24,8 +25,9 @@
 
 
 def crowded(**changes: Any) -> Settings:
-    """No machine serves in full, so the least-loaded pick decides; as many placers as make g one."""
-    return settings(task_class(calm=0.01), siblings=1000, **changes)
+    """No machine serves in full, so the least-loaded pick decides; one placer, and sizes that make g one."""
+    plain = settings(task_class(calm=0.01), siblings=1, **changes)
+    return replace(plain, mean_cores=min(plain.kind_cores) * plain.accepts_cores)
 
 
 def place_many(driver: Driver, tasks: range, cores: float = 1.0) -> Counter[int]:
@@ -160,3 +162,27 @@
     assert driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.9)) == []
     assert only(driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.05)), Move).task == 1
     assert driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.05)) == []
+
+
+def test_the_other_placers_fresh_binds_are_taken_to_be_as_many_as_ours() -> None:
+    driver = Driver()  # three placers; room for 1.8 x 30 = 54 cores
+    driver.listing(machine(0, free_cores=-20.5), machine(1, free_cores=-23.5))
+    driver.find(100, 0, service=9)
+    assert driver.bind(1, service=9) == 0  # 51.5 cores there, as far as is known
+    assert of(driver.arrive(2, service=9), Bind) == []
+
+
+def test_where_machines_push_out_a_higher_priority_needs_no_room_but_prefers_it() -> None:
+    classes = task_class(priority=0), task_class(priority=2)
+    driver = Driver(settings(*classes, pushes_out=True))
+    driver.listing(machine(0, free_cores=-24.0))
+    assert of(driver.arrive(1, cls=0), Bind) == []
+    assert driver.bind(2, cls=1) == 0
+    driver.listing(machine(0, free_cores=-24.0), machine(1), after=10.0)
+    assert driver.bind(3, cls=1) == 1
+
+
+def test_memory_counts_as_load_where_it_is_nearer_to_its_end() -> None:
+    driver = Driver(crowded())
+    driver.listing(machine(0, free_cores=20.0, free_memory=-10.0), machine(1, free_cores=5.0))
+    assert driver.bind(1) == 1
