--- /dev/null
+++ b/tests/frames.py
@@ -0,0 +1,108 @@
+"""Frames of the tests' own, built from the wire's description."""
+
+from __future__ import annotations
+
+import json
+import struct
+from typing import Any
+
+
+def batch(number: int, now: float, *records: bytes) -> bytes:
+    body = b"".join(records)
+    return struct.pack(">IdII", 20 + len(body), now, len(records), number) + body
+
+
+def info(**changes: Any) -> dict[str, Any]:
+    plain: dict[str, Any] = {
+        "Categories": [
+            {
+                "AimMs": 800.0,
+                "DeadlineMs": 3000.0,
+                "Effect": "guarded",
+                "Group": "cell",
+                "LateWorth": 0.1,
+                "Name": "loader",
+                "WindowMs": 6000.0,
+                "Worth": 2.0,
+            }
+        ],
+        "FamilyInfo": {
+            "AcceptsMemory": 1.3,
+            "Ack": "accepted",
+            "ApartBy": ["cell"],
+            "ClassCalm": [0.7],
+            "CpuBooking": 2.2,
+            "FreeBy": "used",
+            "ListsFree": True,
+            "MeanMemory": 1.5,
+            "MemOfKind": [40.0],
+            "NeedsKind": [-1],
+            "SizeCores": [22],
+            "TogetherMax": [3],
+            "UsualCores": 1.1,
+            "YoungLimit": 9.0,
+        },
+        "Me": 1,
+        "Permissions": {"Cancelling": True, "ConnectTimeoutMs": 200.0, "MaxAttempts": 3, "MayProbe": True},
+        "RegistryMode": "on_request",
+        "Rules": {"AskWithinMs": 9000.0, "ColdMs": 12000.0, "FallMs": 1500.0, "FallMultiple": 2.0},
+        "Siblings": 2,
+        "Stats": {"How": "answers", "Names": ["x0", "x1", "q", "something_new"]},
+        "TickMs": 1.0,
+        "Unheard": {"of": 1},
+        "Zone": 0,
+        "Zones": ["a", "b"],
+    }
+    return plain | changes
+
+
+def born(inst: int, settings: dict[str, Any] | None = None, seed: int = 5) -> bytes:
+    text = json.dumps(info() if settings is None else settings).encode()
+    return struct.pack(">BIQI", 1, inst, seed, len(text)) + text
+
+
+def inventory(bank: int, *entries: tuple[int, int, float]) -> bytes:
+    """Entries of machine, condition and free cores."""
+    rows = b"".join(
+        struct.pack(
+            ">BHfBffHIHd",
+            0,
+            1,
+            30.0,
+            condition,
+            free,
+            1.0,
+            0,
+            ident >> 16,
+            ident & 0xFFFF,
+            0.0,
+        )
+        for ident, condition, free in entries
+    )
+    return struct.pack(">BII", 13, bank, len(entries)) + rows
+
+
+def roster(inst: int, mode: int, bank: int) -> bytes:
+    return struct.pack(">BIBII", 2, inst, mode, 1, bank)
+
+
+def task(inst: int, ident: int, bits: int = 0) -> bytes:
+    return struct.pack(">BIQBHQddQffB", 3, inst, ident, 0, 0, 9, 3000.0, 0.0, 8, 1.0, 2.0, bits)
+
+
+def closed(inst: int, ident: int, machine: int, state: int, remark: int, *loads: float) -> bytes:
+    head = struct.pack(
+        ">BIQIHBdHIHB",
+        5,
+        inst,
+        ident,
+        remark,
+        0,
+        0,
+        7.5,
+        state,
+        machine >> 16,
+        machine & 0xFFFF,
+        len(loads),
+    )
+    return head + struct.pack(f">{len(loads)}f", *loads)
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,232 @@
+"""Random sequences of faults over several independent placers: the five rules hold for each of them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, defaultdict
+from dataclasses import replace
+from typing import Any
+
+from helpers import machine, settings, task_class
+from hypothesis import given
+from hypothesis import settings as runs
+from hypothesis import strategies as st
+
+from kelpfront import Scheduler
+from kelpfront.interface import (
+    NEVER_RAN,
+    Action,
+    AttemptClosed,
+    Bind,
+    CancelAttempt,
+    Effect,
+    End,
+    Event,
+    Fail,
+    ListKind,
+    Load,
+    Machine,
+    MachineList,
+    MachineState,
+    Move,
+    Place,
+    Reason,
+    Refuse,
+    SetTimer,
+    TaskArrived,
+    TaskFound,
+    TaskNote,
+    TaskPlaced,
+    TaskWithdrawn,
+    TimerFired,
+    Topic,
+)
+
+CLASSES = (
+    task_class(Effect.SAFE, apart=Place.MACHINE, together_max=2, priority=0),
+    task_class(Effect.KEYED, group=Place.CELL, apart=Place.CELL, together_max=2, window_ms=900.0, priority=2),
+    task_class(Effect.KEYED, group=Place.ALL, apart=Place.ZONE, together_max=3, window_ms=1500.0),
+    task_class(Effect.UNSAFE),
+)
+PLACERS = 3
+FLEET = 6
+
+
+class Client:
+    """One placer with its task records, checked against the rules at each of its actions."""
+
+    def __init__(self, me: int, on_request: bool, cold: dict[int, list[float]]) -> None:
+        self.settings = settings(*CLASSES, me=me, list_on_request=on_request, pushes_out=True)
+        self.scheduler = Scheduler(self.settings, seed=me)
+        self.cold = cold
+        self.view: dict[int, Machine] = {}
+        self.named: dict[int, Machine] = {}
+        self.tasks: dict[int, TaskArrived] = {}
+        self.deadline: dict[int, float] = {}
+        self.answers: Counter[int] = Counter()
+        self.over: set[int] = set()
+        self.attempts: dict[int, list[dict[str, Any]]] = defaultdict(list)
+        self.found: dict[tuple[int, int], tuple[int, int]] = {}
+        self.timers: list[tuple[float, int]] = []
+
+    def send(self, now: float, event: Event) -> None:
+        for action in self.scheduler.handle(now, event):
+            self.check(now, action)
+
+    def check(self, now: float, action: Action) -> None:
+        match action:
+            case SetTimer(at, token):
+                self.timers.append((at, token))
+            case Bind(task, target, timeout):
+                self.check_bind(now, task, target)
+                assert timeout > 0
+                assert now + timeout <= self.deadline[task]
+                self.attempts[task].append(
+                    {"machine": target, "sent": now, "open": True, "placed": False, "end": None}
+                )
+            case Refuse(task) | Fail(task):
+                assert task in self.tasks and task not in self.over
+                self.answers[task] += 1
+                self.over.add(task)
+                assert now <= self.deadline[task]
+                if isinstance(action, Refuse):
+                    cls = CLASSES[self.tasks[task].cls]
+                    known = all(a["end"] in NEVER_RAN for a in self.attempts[task])
+                    keyed_anywhere = cls.effect is Effect.KEYED and cls.group is Place.ALL
+                    assert cls.effect is Effect.SAFE or known or keyed_anywhere
+            case CancelAttempt(task, number):
+                assert number < len(self.attempts[task])
+            case Move(task):
+                assert task in self.over
+
+    def check_bind(self, now: float, task: int, target: int) -> None:
+        assert task in self.tasks and task not in self.over
+        made = self.attempts[task]
+        assert len(made) < self.settings.max_attempts
+        assert not any(a["open"] for a in made)
+        entry = self.view[target]
+        assert entry.state is MachineState.READY
+        cls = CLASSES[self.tasks[task].cls]
+        maybe = [a for a in made if a["end"] not in NEVER_RAN]
+        if maybe and cls.effect is not Effect.SAFE:
+            assert cls.effect is Effect.KEYED
+            assert now <= maybe[0]["sent"] + cls.window_ms
+            assert all(
+                place_of(self.named[a["machine"]], cls.group) == place_of(entry, cls.group) for a in maybe
+            )
+        if cls.apart is not Place.NONE:
+            service = self.tasks[task].service
+            there = 1 + sum(
+                a["open"] and place_of(self.named[a["machine"]], cls.apart) == place_of(entry, cls.apart)
+                for other, attempts in self.attempts.items()
+                if self.tasks[other].service == service
+                for a in attempts
+            )
+            there += sum(
+                its_service == service
+                and (
+                    on not in self.named or place_of(self.named[on], cls.apart) == place_of(entry, cls.apart)
+                )
+                for its_service, on in self.found.values()
+            )
+            assert there <= cls.together_max
+        rules = self.settings.rules
+        if entry.started_at and now < entry.started_at + rules.cold_ms:
+            sends = self.cold[target]
+            sends.append(now)
+            assert sum(at > now - rules.cold_window_ms for at in sends) <= rules.cold_offers
+
+
+def place_of(entry: Machine, place: Place) -> int:
+    return {Place.MACHINE: entry.id, Place.CELL: entry.cell, Place.ZONE: entry.zone}.get(place, 0)
+
+
+@runs(derandomize=True, deadline=None, max_examples=60)
+@given(st.integers(0, 2**32), st.booleans())
+def test_rules_hold_under_random_faults(seed: int, on_request: bool) -> None:
+    chance = random.Random(seed)
+    cold: dict[int, list[float]] = defaultdict(list)
+    clients = [Client(me, on_request, cold) for me in range(PLACERS)]
+    fleet = {n: machine(n, free_cores=chance.uniform(-25, 25)) for n in range(FLEET)}
+    now, next_task = 5000.0, 1
+    for client in clients:
+        told = MachineList(ListKind.CACHED, 1, tuple(fleet.values()))
+        client.view.update(fleet)
+        client.named.update(fleet)
+        client.send(now, told)
+    for _ in range(250):
+        until = now + chance.choice([0.0, 2.0, 15.0, 60.0, 400.0])
+        now = fire_timers(clients, until)
+        client = chance.choice(clients)
+        step(chance, client, fleet, now, next_task)
+        next_task += 1
+    fire_timers(clients, now + 10_000.0)
+    for client in clients:
+        for task in client.tasks:
+            assert client.answers[task] <= 1
+            assert task in client.over
+
+
+def fire_timers(clients: list[Client], until: float) -> float:
+    """Let time go on to `until`, each timer at its own time."""
+    while True:
+        due = [
+            (at, n, token) for n, client in enumerate(clients) for at, token in client.timers if at <= until
+        ]
+        if not due:
+            return until
+        at, n, token = min(due)
+        clients[n].timers.remove((at, token))
+        clients[n].send(at, TimerFired(token))
+
+
+def step(chance: random.Random, client: Client, fleet: dict[int, Machine], now: float, task: int) -> None:
+    kind = chance.random()
+    opened = [(t, n, a) for t, made in client.attempts.items() for n, a in enumerate(made) if a["open"]]
+    if kind < 0.4:
+        cls = chance.randrange(len(CLASSES))
+        arrived = TaskArrived(task, cls, chance.randrange(4) * 10 + cls, 1.0, 2.0, chance.uniform(50, 4000))
+        client.tasks[task] = arrived
+        client.deadline[task] = now + arrived.patience_ms
+        client.send(now, arrived)
+    elif kind < 0.7 and opened:
+        ident, number, attempt = chance.choice(opened)
+        if not attempt["placed"] and ident not in client.over and chance.random() < 0.4:
+            attempt["placed"] = True
+            client.over.add(ident)
+            client.send(now, TaskPlaced(ident, number, attempt["machine"], 4.0))
+            return
+        end = chance.choice([End.ENDED, End.RESET]) if attempt["placed"] else chance.choice(list(End))
+        over = ident in client.over or end in (End.ENDED, End.CANCELLED)
+        attempt["open"], attempt["end"] = False, end
+        if over:
+            client.over.add(ident)
+        load = chance.choice([None, Load(chance.uniform(-1, 30), 5.0), Load(float("nan"), None)])
+        reason = chance.choice(list(Reason))
+        client.send(now, AttemptClosed(ident, number, attempt["machine"], end, reason, over, 4.0, load))
+    elif kind < 0.75 and client.tasks:
+        ident = chance.choice(list(client.tasks))
+        client.over.add(ident)
+        client.send(now, TaskWithdrawn(ident))
+    elif kind < 0.8:
+        on, service = chance.randrange(FLEET + 3), chance.randrange(40)
+        client.found[1_000_000 + task, 0] = service, on
+        client.send(now, TaskFound(1_000_000 + task, service % 10 % len(CLASSES), service, 1.0, 2.0, on))
+    elif kind < 0.85 and opened:
+        ident, number, attempt = chance.choice(opened)
+        topic = chance.choice(list(Topic))
+        client.send(now, TaskNote(ident, number, attempt["machine"], topic, chance.uniform(0, 1.2)))
+    elif kind < 0.9:
+        client.send(now, MachineList(ListKind.FAILED, 0, ()))
+    else:
+        ident = chance.randrange(FLEET + 3)
+        base = fleet.get(ident) or machine(ident)
+        started = now - 5.0 if chance.random() < 0.3 else base.started_at
+        fleet[ident] = replace(
+            base,
+            state=chance.choice(list(MachineState)),
+            free_cores=chance.uniform(-25, 30),
+            started_at=started,
+        )
+        client.view[ident] = client.named[ident] = fleet[ident]
+        client.send(now, MachineList(ListKind.CHANGES, 2, (fleet[ident],)))
