--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -10,42 +10,9 @@
 import math
 import random
 from collections import deque
+from dataclasses import dataclass, field, replace
 
-from kelpfront.interface import (
-    NEVER_RAN,
-    Action,
-    AttemptClosed,
-    Bind,
-    CancelAttempt,
-    Effect,
-    End,
-    Event,
-    Fail,
-    ListKind,
-    Load,
-    Log,
-    Machine,
-    MachineId,
-    MachineList,
-    MachineState,
-    Move,
-    Place,
-    ProbeAnswered,
-    Reason,
-    Refuse,
-    SetTimer,
-    Settings,
-    Subscribe,
-    TaskArrived,
-    TaskClass,
-    TaskFound,
-    TaskId,
-    TaskNote,
-    TaskPlaced,
-    TaskWithdrawn,
-    TimerFired,
-    Topic,
-)
+from kelpfront import interface as api
 
 # ---- Tunables, each with its reason -----------------------------------------------------------------
 
@@ -61,43 +28,41 @@
 WAKE, LIST_CALL, DEADLINE = 0, 1, 2  # what a timer token is for, in its two lowest bits
 
 
-# ---- Machine view -----------------------------------------------------------------------------------
+# ---- Machine view ---------------------------------------------------------------------------------------
 
 
+@dataclass(slots=True, eq=False)
 class _Machine:
     """A machine as the list, its answers and this placer's own binds show it."""
 
-    __slots__ = (
-        "aside_for", "aside_until", "cores", "counters", "full_cores", "full_memory", "full_until", "id",
-        "last_bind", "load", "load_at", "memory", "moved_at", "offers", "open", "recent", "recent_cores",
-        "recent_memory", "recent_use", "seen_at", "strikes", "view",
-    )  # fmt: skip
-
-    def __init__(self, view: Machine, cores: float, memory: float) -> None:
-        self.id = view.id
-        self.view = view
-        self.cores = cores
-        self.memory = memory
-        self.seen_at = -math.inf
-        self.counters: dict[int, float] = {}
-        self.last_bind = -math.inf
-        self.open: dict[tuple[TaskId, int], _Attempt] = {}
-        self.recent: deque[tuple[float, float, float]] = deque()  # own binds and ends the view may lack
-        self.recent_cores = self.recent_memory = 0.0
-        self.offers: deque[float] = deque()
-        self.load: Load | None = None
-        self.load_at = -math.inf
-        self.recent_use: deque[tuple[float, float, float]] = deque()  # as `recent`, in expected use
-        self.full_until = -math.inf
-        self.full_cores = self.full_memory = math.inf
-        self.moved_at = -math.inf
-        self.strikes = 0.0
-        self.aside_for = 0.0
-        self.aside_until = -math.inf
+    view: api.Machine
+    cores: float
+    memory: float
+    counters: dict[int, float] = field(default_factory=dict)
+    open: dict[_Key, _Attempt] = field(default_factory=dict)
+    last_bind: float = -math.inf
+    recent: _Changes = field(default_factory=deque)  # own binds and ends that the view may lack
+    recent_cores: float = 0.0
+    recent_memory: float = 0.0
+    load: api.Load | None = None
+    load_at: float = -math.inf
+    recent_use: _Changes = field(default_factory=deque)  # as `recent`, in expected use
+    offers: deque[float] = field(default_factory=deque)
+    full_until: float = -math.inf
+    full_cores: float = math.inf
+    full_memory: float = math.inf
+    moved_at: float = -math.inf
+    strikes: float = 0.0
+    aside_for: float = 0.0
+    aside_until: float = -math.inf
+
+    @property
+    def id(self) -> api.MachineId:
+        return self.view.id
 
     @property
     def ready(self) -> bool:
-        return self.view.state is MachineState.READY
+        return self.view.state is api.MachineState.READY
 
     def note_change(self, now: float, cores: float, memory: float) -> None:
         self.recent.append((now, cores, memory))
@@ -139,39 +104,37 @@
         self.recent_cores = self.recent_memory = 0.0
 
 
+@dataclass(slots=True, eq=False)
 class _Attempt:
-    __slots__ = ("cores", "machine", "memory", "number", "placed", "sent_at", "task")
-
-    def __init__(self, task: _Task, number: int, machine: _Machine | None, sent_at: float) -> None:
-        self.task = task
-        self.number = number
-        self.machine = machine
-        self.sent_at = sent_at
-        self.placed = False
+    task: _Task
+    number: int
+    machine: _Machine | None
+    sent_at: float
+    placed: bool = False
 
 
+@dataclass(slots=True, eq=False)
 class _Task:
-    __slots__ = (
-        "answered", "cls", "cores", "deadline", "id", "maybe_ran", "memory", "sent", "service", "tried",
-    )  # fmt: skip
-
-    def __init__(self, ident: TaskId, cls: TaskClass, service: int, cores: float, memory: float) -> None:
-        self.id = ident
-        self.cls = cls
-        self.service = service
-        self.cores = cores
-        self.memory = memory
-        self.deadline = math.inf
-        self.sent = 0
-        self.tried: dict[MachineId, None] = {}
-        self.maybe_ran: list[_Attempt] = []
-        self.answered = False
+    id: api.TaskId
+    cls: api.TaskClass
+    service: int
+    cores: float
+    memory: float
+    deadline: float = math.inf
+    sent: int = 0
+    tried: dict[api.MachineId, None] = field(default_factory=dict)
+    maybe_ran: list[_Attempt] = field(default_factory=list)
+    answered: bool = False
+
+
+_Key = tuple[api.TaskId, int]
+_Changes = deque[tuple[float, float, float]]
 
 
 class Scheduler:
     """Decides for one placer: `handle` takes events in order and returns what to do at that instant."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self._settings = settings
         self._rules = settings.rules
         self._random = random.Random(seed)
@@ -182,20 +145,20 @@
         self._lowest_priority = min(cls.priority for cls in settings.classes)
         self._now = 0.0
         self._born_at: float | None = None
-        self._out: list[Action] = []
-        self._machines: dict[MachineId, _Machine] = {}
-        self._tasks: dict[TaskId, _Task] = {}
-        self._attempts: dict[tuple[TaskId, int], _Attempt] = {}
-        self._services: dict[int, dict[tuple[TaskId, int], _Attempt]] = {}
-        self._waiting: dict[TaskId, None] = {}
+        self._out: list[api.Action] = []
+        self._machines: dict[api.MachineId, _Machine] = {}
+        self._tasks: dict[api.TaskId, _Task] = {}
+        self._attempts: dict[_Key, _Attempt] = {}
+        self._services: dict[int, dict[_Key, _Attempt]] = {}
+        self._waiting: dict[api.TaskId, None] = {}
         self._ratios = [1.0, 1.0]  # of use to what is asked, cores and memory, over all own tasks
         self._service_ratios: dict[int, list[float]] = {}
-        self._unlisted: dict[MachineId, list[_Attempt]] = {}
+        self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
         self._wake_set = False
         self._list_fails = 0
         self._list_asked = False
 
-    def handle(self, now: float, event: Event) -> list[Action]:
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at time `now` and return the actions, in the order in which they are to be done."""
         self._now = max(now, self._now)
         if self._born_at is None:
@@ -203,23 +166,23 @@
             if self._settings.list_on_request:
                 self._ask_list()
         match event:
-            case TaskArrived():
+            case api.TaskArrived():
                 self._arrived(event)
-            case AttemptClosed():
+            case api.AttemptClosed():
                 self._closed(event)
-            case TaskPlaced():
+            case api.TaskPlaced():
                 self._placed(event)
-            case TimerFired():
+            case api.TimerFired():
                 self._timer(event.token)
-            case MachineList():
+            case api.MachineList():
                 self._listed(event)
-            case TaskNote():
+            case api.TaskNote():
                 self._noted(event)
-            case TaskFound():
+            case api.TaskFound():
                 self._found(event)
-            case TaskWithdrawn():
+            case api.TaskWithdrawn():
                 self._withdrawn(event.task)
-            case ProbeAnswered():
+            case api.ProbeAnswered():
                 self._take_load(event.machine, event.load)
         out, self._out = self._out, []
         return out
@@ -261,7 +224,7 @@
 
         One on a machine that no list has named yet may lie anywhere, so it counts everywhere.
         """
-        if task.cls.apart is Place.NONE:
+        if task.cls.apart is api.Place.NONE:
             return True
         place = _place(machine, task.cls.apart)
         there = sum(
@@ -273,9 +236,9 @@
 
     def _fits_effect(self, task: _Task, machine: _Machine) -> bool:
         """After an attempt that may have run: only where the repeat does no harm, and only in time."""
-        if task.cls.effect is Effect.SAFE or not task.maybe_ran:
+        if task.cls.effect is api.Effect.SAFE or not task.maybe_ran:
             return True
-        if task.cls.effect is Effect.UNSAFE:
+        if task.cls.effect is api.Effect.UNSAFE:
             return False
         return all(
             self._now <= earlier.sent_at + task.cls.window_ms - self._settings.tick_ms
@@ -370,14 +333,14 @@
 
     # ---- Attempts -------------------------------------------------------------------------------------
 
-    def _arrived(self, event: TaskArrived) -> None:
+    def _arrived(self, event: api.TaskArrived) -> None:
         if event.task in self._tasks or not 0 <= event.cls < len(self._settings.classes):
             return
         cls = self._settings.classes[event.cls]
         task = _Task(event.task, cls, event.service, event.cores, event.memory)
         task.deadline = self._now + event.patience_ms - 2 * self._settings.tick_ms
         self._tasks[task.id] = task
-        self._out.append(SetTimer(max(self._now, task.deadline), task.id << 2 | DEADLINE))
+        self._out.append(api.SetTimer(max(self._now, task.deadline), task.id << 2 | DEADLINE))
         self._try(task)
 
     def _try(self, task: _Task) -> None:
@@ -386,7 +349,7 @@
         if task.answered:
             return
         hopeless = task.maybe_ran and (
-            task.cls.effect is Effect.UNSAFE
+            task.cls.effect is api.Effect.UNSAFE
             or not any(m.ready and self._fits_effect(task, m) for m in self._machines.values())
         )
         if self._now >= task.deadline or task.sent >= self._settings.max_attempts or hopeless:
@@ -404,14 +367,14 @@
         machine.offers.append(self._now)
         machine.note_change(self._now, task.cores, task.memory)
         machine.note_use(self._now, *self._expected(task))
-        self._out.append(Bind(task.id, machine.id, self._time_out(task)))
+        self._out.append(api.Bind(task.id, machine.id, self._time_out(task)))
 
     def _time_out(self, task: _Task) -> float:
         """Half of what is left where another attempt may follow a silent one, else all of it."""
         left = task.deadline - self._now
-        if task.cls.effect is Effect.UNSAFE or task.sent >= self._settings.max_attempts:
+        if task.cls.effect is api.Effect.UNSAFE or task.sent >= self._settings.max_attempts:
             return left
-        if task.cls.effect is Effect.KEYED:
+        if task.cls.effect is api.Effect.KEYED:
             left = min(left, task.cls.window_ms)
         return max(self._settings.tick_ms, left / 2)
 
@@ -422,13 +385,13 @@
         self._tasks.pop(task.id, None)
         out = [a for n in range(task.sent) if (a := self._attempts.get((task.id, n))) and not a.placed]
         if self._settings.may_cancel:
-            self._out.extend(CancelAttempt(task.id, attempt.number) for attempt in out)
+            self._out.extend(api.CancelAttempt(task.id, attempt.number) for attempt in out)
         harmless = (
-            task.cls.effect is Effect.SAFE
+            task.cls.effect is api.Effect.SAFE
             or not (task.maybe_ran or out)
-            or (task.cls.effect is Effect.KEYED and task.cls.group is Place.ALL)
+            or (task.cls.effect is api.Effect.KEYED and task.cls.group is api.Place.ALL)
         )
-        self._out.append(Refuse(task.id) if harmless else Fail(task.id))
+        self._out.append(api.Refuse(task.id) if harmless else api.Fail(task.id))
 
     def _keep(self, attempt: _Attempt) -> None:
         key = attempt.task.id, attempt.number
@@ -437,7 +400,7 @@
         if attempt.machine is not None:
             attempt.machine.open[key] = attempt
 
-    def _closed(self, event: AttemptClosed) -> None:
+    def _closed(self, event: api.AttemptClosed) -> None:
         self._take_load(event.machine, event.load)
         key = event.task, event.attempt
         attempt = self._attempts.pop(key, None)
@@ -451,15 +414,15 @@
         machine = attempt.machine
         if machine is not None:
             machine.open.pop(key, None)
-            if attempt.placed or event.end in NEVER_RAN:
+            if attempt.placed or event.end in api.NEVER_RAN:
                 machine.note_change(self._now, -task.cores, -task.memory)
                 cores, memory = self._expected(task)
                 machine.note_use(self._now, -cores, -memory)
             self._judge(machine, attempt, event)
         task.tried[event.machine] = None
-        if event.end is End.REFUSED and machine is not None:
+        if event.end is api.End.REFUSED and machine is not None:
             self._take_refusal(task, machine, event.reason)
-        elif event.end not in NEVER_RAN:
+        elif event.end not in api.NEVER_RAN:
             task.maybe_ran.append(attempt)
         if event.task_over:
             task.answered = True
@@ -468,13 +431,13 @@
         else:
             self._try(task)
 
-    def _take_refusal(self, task: _Task, machine: _Machine, reason: Reason) -> None:
+    def _take_refusal(self, task: _Task, machine: _Machine, reason: api.Reason) -> None:
         """The view overstates this machine's room: nothing as large goes there until it could catch up."""
         machine.full_until = self._now + VIEW_LAG_MS
-        machine.full_cores = task.cores if reason is Reason.NO_CORES else math.inf
-        machine.full_memory = task.memory if reason is Reason.NO_MEMORY else math.inf
+        machine.full_cores = task.cores if reason is api.Reason.NO_CORES else math.inf
+        machine.full_memory = task.memory if reason is api.Reason.NO_MEMORY else math.inf
 
-    def _placed(self, event: TaskPlaced) -> None:
+    def _placed(self, event: api.TaskPlaced) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
         if attempt is None or attempt.placed:
             return
@@ -484,7 +447,7 @@
         if self._settings.ack_when_running and attempt.machine is not None:
             self._well(attempt.machine)
 
-    def _withdrawn(self, ident: TaskId) -> None:
+    def _withdrawn(self, ident: api.TaskId) -> None:
         task = self._tasks.pop(ident, None)
         if task is not None:
             task.answered = True
@@ -494,7 +457,7 @@
         if not self._wake_set:
             self._wake_set = True
             step = min(cls.aim_ms for cls in self._settings.classes) / 10  # late by a tenth of an aim at most
-            self._out.append(SetTimer(self._now + step, WAKE))
+            self._out.append(api.SetTimer(self._now + step, WAKE))
 
     def _timer(self, token: int) -> None:
         kind, ident = token & 3, token >> 2
@@ -511,7 +474,7 @@
         waiting = [self._tasks[ident] for ident in self._waiting]
         stuck: dict[tuple[str, int | None, float, float], None] = {}
         for task in sorted(waiting, key=lambda t: (-t.cls.priority, -t.cls.worth)):
-            service = None if task.cls.apart is Place.NONE else task.service
+            service = None if task.cls.apart is api.Place.NONE else task.service
             shape = task.cls.name, service, task.cores, task.memory
             if shape not in stuck or task.maybe_ran:
                 self._try(task)
@@ -529,11 +492,11 @@
         if machine.strikes < STRIKES:
             machine.aside_for = 0.0
 
-    def _judge(self, machine: _Machine, attempt: _Attempt, event: AttemptClosed) -> None:
+    def _judge(self, machine: _Machine, attempt: _Attempt, event: api.AttemptClosed) -> None:
         """Silence and errors by count; a placed task lost without a word speaks of the whole machine."""
-        if event.end in (End.TIMED_OUT, End.UNREACHABLE, End.ERROR):
+        if event.end in (api.End.TIMED_OUT, api.End.UNREACHABLE, api.End.ERROR):
             self._strike(machine, 1.0, event.end.value)
-        elif event.end is End.RESET and event.reason in (Reason.UNTOLD, Reason.SENT_AWAY):
+        elif event.end is api.End.RESET and event.reason in (api.Reason.UNTOLD, api.Reason.SENT_AWAY):
             self._strike(machine, STRIKES if attempt.placed else 1.0, event.end.value)
 
     def _strike(self, machine: _Machine, weight: float, symptom: str) -> None:
@@ -547,20 +510,22 @@
             return
         machine.aside_for = max(VIEW_LAG_MS, min(2 * machine.aside_for, self._rules.cold_ms))
         machine.aside_until = self._now + machine.aside_for
-        self._out.append(Log(f"machine {machine.id:x} set aside for {machine.aside_for:.0f} ms: {symptom}"))
+        self._out.append(
+            api.Log(f"machine {machine.id:x} set aside for {machine.aside_for:.0f} ms: {symptom}")
+        )
 
-    def _noted(self, event: TaskNote) -> None:
+    def _noted(self, event: api.TaskNote) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
         if attempt is None or attempt.machine is None or not math.isfinite(event.value):
             return
         task = attempt.task
-        if event.topic is Topic.RUNNING:
+        if event.topic is api.Topic.RUNNING:
             self._well(attempt.machine)
-        elif event.topic is Topic.SERVICE:
+        elif event.topic is api.Topic.SERVICE:
             self._relieve(attempt, event.value)
-        elif event.topic is Topic.CORES_USED:
+        elif event.topic is api.Topic.CORES_USED:
             self._learn(task.service, 0, event.value / task.cores)
-        elif event.topic is Topic.MEMORY_USED:
+        elif event.topic is api.Topic.MEMORY_USED:
             self._learn(task.service, 1, event.value / task.memory)
 
     def _relieve(self, attempt: _Attempt, share: float) -> None:
@@ -571,14 +536,14 @@
         others = [m for m in self._candidates(task) if m is not machine]
         if self._now >= machine.moved_at + VIEW_LAG_MS and any(self._fits_use(task, m) for m in others):
             machine.moved_at = self._now
-            self._out.append(Move(task.id))
+            self._out.append(api.Move(task.id))
 
     def _learn(self, service: int, which: int, ratio: float) -> None:
         self._ratios[which] += LEARN * (ratio - self._ratios[which])
         of_service = self._service_ratios.setdefault(service, list(self._ratios))
         of_service[which] += (ratio - of_service[which]) / 4  # follows its own changes within a few notes
 
-    def _take_load(self, ident: MachineId, load: Load | None) -> None:
+    def _take_load(self, ident: api.MachineId, load: api.Load | None) -> None:
         if load is not None and ident in self._machines:
             self._machines[ident].load = load
             self._machines[ident].load_at = self._now
@@ -608,22 +573,22 @@
 
     def _ask_list(self) -> None:
         self._list_asked = True
-        self._out.append(Subscribe(True))
+        self._out.append(api.Subscribe(True))
 
-    def _listed(self, event: MachineList) -> None:
-        if event.kind is ListKind.FAILED:
+    def _listed(self, event: api.MachineList) -> None:
+        if event.kind is api.ListKind.FAILED:
             self._list_failed()
             return
-        if event.kind is not ListKind.CACHED:
+        if event.kind is not api.ListKind.CACHED:
             self._list_asked, self._list_fails = False, 0
         named = {entry.id: None for entry in event.machines}
         for entry in event.machines:
             self._list_entry(entry)
-        if event.kind is not ListKind.CHANGES:
+        if event.kind is not api.ListKind.CHANGES:
             for machine in self._machines.values():
                 if machine.id not in named:
-                    machine.view = _gone(machine.view)
-        for ident in [m.id for m in self._machines.values() if m.view.state is MachineState.GONE]:
+                    machine.view = replace(machine.view, state=api.MachineState.GONE)
+        for ident in [m.id for m in self._machines.values() if m.view.state is api.MachineState.GONE]:
             if not self._machines[ident].open:
                 del self._machines[ident]
         self._try_waiting()
@@ -634,9 +599,9 @@
         self._list_fails += 1
         most = self._rules.ask_within_ms / 2 or VIEW_LAG_MS
         pause = min(most, most / 16 * 2**self._list_fails) * (0.5 + self._random.random() / 2)
-        self._out.append(SetTimer(self._now + pause, LIST_CALL))
+        self._out.append(api.SetTimer(self._now + pause, LIST_CALL))
 
-    def _list_entry(self, entry: Machine) -> None:
+    def _list_entry(self, entry: api.Machine) -> None:
         if not 0 <= entry.kind < len(self._settings.kind_cores):
             return
         if not (math.isfinite(entry.free_cores) and math.isfinite(entry.free_memory)):
@@ -649,20 +614,19 @@
             self._lower_counters(machine)
         else:
             restarted = entry.started_at > machine.view.started_at
-            if restarted or (entry.state is MachineState.READY and not machine.ready):
+            if restarted or (entry.state is api.MachineState.READY and not machine.ready):
                 self._lower_counters(machine)
             if restarted:
                 machine.strikes = 0.0
                 machine.forget_recent()
             machine.view = entry
-        machine.seen_at = self._now
         empty = entry.free_cores >= machine.cores and not machine.open and self._now > machine.last_bind
         if empty and self._settings.list_tells_free:
             self._lower_counters(machine)
 
     # ---- Placed tasks ---------------------------------------------------------------------------------
 
-    def _found(self, event: TaskFound) -> None:
+    def _found(self, event: api.TaskFound) -> None:
         """A task that runs already counts for spread, load and resets from now on."""
         key = event.task, 0
         if event.task in self._tasks or key in self._attempts:
@@ -687,27 +651,20 @@
                 machine.open[attempt.task.id, attempt.number] = attempt
 
 
-def _place(machine: _Machine, place: Place) -> int:
+def _place(machine: _Machine, place: api.Place) -> int:
     match place:
-        case Place.MACHINE:
+        case api.Place.MACHINE:
             return machine.id
-        case Place.CELL:
+        case api.Place.CELL:
             return machine.view.cell
-        case Place.ZONE:
+        case api.Place.ZONE:
             return machine.view.zone
     return 0
 
 
-def _home(service: int, machine: MachineId) -> int:
+def _home(service: int, machine: api.MachineId) -> int:
     """A number that every placer computes alike: the lowest of a service's is its first home."""
     mixed = (service ^ machine * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
     mixed = (mixed ^ mixed >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
     mixed = (mixed ^ mixed >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
     return mixed ^ mixed >> 31
-
-
-def _gone(view: Machine) -> Machine:
-    return Machine(
-        view.id, view.kind, view.cell, view.zone, MachineState.GONE, view.free_cores, view.free_memory,
-        view.started_at,
-    )  # fmt: skip
