Time-outs leave room for twice the usual wait; running tasks no longer bar a trial

A time-out now leaves twice the learned usual wait. A test of the trial showed that a machine set aside never came back while an own task ran there: only attempts without acknowledgement count now.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -64,6 +64,11 @@
     def ready(self) -> bool:
         return self.view.state is api.MachineState.READY
 
+    @property
+    def idle(self) -> bool:
+        """No own attempt there awaits its acknowledgement."""
+        return all(attempt.placed for attempt in self.open.values())
+
     def note_change(self, now: float, cores: float, memory: float) -> None:
         self.recent.append((now, cores, memory))
         self.recent_cores += cores
@@ -150,6 +155,7 @@
         self._tasks: dict[api.TaskId, _Task] = {}
         self._attempts: dict[_Key, _Attempt] = {}
         self._services: dict[int, dict[_Key, _Attempt]] = {}
+        self._usual_ms = min(cls.aim_ms for cls in settings.classes)  # from offer to acknowledgement
         self._waiting: dict[api.TaskId, None] = {}
         self._ratios = [1.0, 1.0]  # of use to what is asked, cores and memory, over all own tasks
         self._service_ratios: dict[int, list[float]] = {}
@@ -294,7 +300,7 @@
         healthy = [m for m in allowed if self._fits_health(m)]
         fresh = [m for m in healthy if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
-        return calm or fresh or healthy or [m for m in allowed if not m.open]
+        return calm or fresh or healthy or [m for m in allowed if m.idle]
 
     def _pick(self, task: _Task) -> _Machine | None:
         passing = self._candidates(task)
@@ -376,7 +382,7 @@
             return left
         if task.cls.effect is api.Effect.KEYED:
             left = min(left, task.cls.window_ms)
-        return max(self._settings.tick_ms, left / 2)
+        return max(self._settings.tick_ms, left / 2, left - 2 * self._usual_ms)
 
     def _answer(self, task: _Task) -> None:
         """The one final answer: a refusal where it is known that asking again does no harm."""
@@ -444,6 +450,8 @@
         attempt.placed = True
         attempt.task.answered = True
         self._waiting.pop(event.task, None)
+        if math.isfinite(event.took_ms):
+            self._usual_ms += LEARN * (event.took_ms - self._usual_ms)
         if self._settings.ack_when_running and attempt.machine is not None:
             self._well(attempt.machine)
 
@@ -464,7 +472,7 @@
         if kind == WAKE:
             self._wake_set = False
             self._try_waiting()
-        elif kind == LIST_CALL and not self._list_asked:
+        elif kind == LIST_CALL and self._list_fails and not self._list_asked:
             self._ask_list()
         elif kind == DEADLINE and (task := self._tasks.get(ident)) and not task.answered:
             self._answer(task)
@@ -485,7 +493,7 @@
 
     def _fits_health(self, machine: _Machine) -> bool:
         """In use, or back on trial: once its time is over it gets one attempt until one went well."""
-        return not machine.strikes >= STRIKES or (self._now >= machine.aside_until and not machine.open)
+        return machine.strikes < STRIKES or (self._now >= machine.aside_until and machine.idle)
 
     def _well(self, machine: _Machine) -> None:
         machine.strikes /= 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,11 +12,14 @@
     End,
     Fail,
     ListKind,
+    Log,
+    MachineList,
     MachineState,
     Place,
     Reason,
     Refuse,
     SetTimer,
+    Subscribe,
     TaskPlaced,
     TimerFired,
 )
@@ -203,3 +206,48 @@
     assert driver.close(5, 0, first, End.ENDED, over=True) == []
     assert driver.send(TimerFired(5 << 2 | 2)) == []
     assert driver.place(5, 0, first) == []
+
+
+def test_the_first_time_out_leaves_room_for_another_attempt_and_no_more() -> None:
+    driver = Driver()
+    driver.listing(*FLEET)
+    early = only(driver.arrive(1, patience_ms=4000.0), Bind)
+    assert 1990.0 < early.timeout_ms < 4000.0 - 2 * 5.0
+    driver.place(1, 0, early.machine)
+    for task in range(2, 80):  # acknowledgements come within 5 ms
+        driver.place(task, 0, driver.bind(task, cores=0.1, after=30.0))
+    late = only(driver.arrive(99, cores=0.1, patience_ms=4000.0), Bind)
+    assert early.timeout_ms < late.timeout_ms < 4000.0 - 2 * 5.0
+
+
+def test_a_machine_that_stays_silent_is_set_aside_and_comes_back_by_one_trial() -> None:
+    driver = Driver()
+    driver.listing(*(machine(n, free_cores=28.0, free_memory=48.0) for n in (1, 2, 3)))
+    driver.find(100, 2, service=9)  # it makes machine 2 the choice for the service
+    for task in (1, 2):
+        assert driver.bind(task, service=9) == 2
+        driver.close(task, 0, 2, End.TIMED_OUT, over=True, after=5.0)
+    assert any(isinstance(a, Log) and "timed out" in a.text for _, a in driver.done)
+    assert driver.bind(3, service=9) != 2
+    driver.close(3, 0, 1, End.ENDED, over=True)
+    driver.now += 20_000.0
+    driver.find(101, 2, service=50)
+    trial = [driver.bind(task, service=50) for task in range(4, 12)]
+    assert trial[0] == 2  # tasks that run there do not bar the trial
+    assert 2 not in trial[1:]
+    driver.place(4, 0, 2)
+    driver.find(102, 2, service=60)
+    assert driver.bind(20, service=60) == 2
+
+
+def test_failed_list_calls_are_repeated_with_growing_pauses_inside_the_time_to_ask() -> None:
+    driver = Driver(settings(list_on_request=True))
+    assert of(driver.listing(*FLEET, kind=ListKind.CACHED), Subscribe)
+    pauses = []
+    for _ in range(7):
+        timer = only(driver.send(MachineList(ListKind.FAILED, 0, ())), SetTimer)
+        pauses.append(timer.at - driver.now)
+        assert of(driver.send(TimerFired(timer.token), after=pauses[-1]), Subscribe)
+    assert pauses[0] < pauses[-1] < 8000.0 / 2 + 1
+    driver.listing(*FLEET, after=10.0)
+    assert driver.send(TimerFired(timer.token), after=10.0) == []
