--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -21,6 +21,7 @@
 LOAD_OLD_MS = 4000.0  # a report older than this says less than what is asked does: tasks live for seconds
 LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
 MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
+SERVED_WELL = 0.75  # of full service: a little crowding costs less than a start away from the service's homes
 MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
@@ -272,12 +273,16 @@
         ratios = self._service_ratios.get(task.service, self._ratios)
         return task.cores * ratios[0], task.memory * ratios[1]
 
+    def _busy_limit(self, cls: api.TaskClass) -> float:
+        """Share of cores in use up to which a machine still serves the class well."""
+        return cls.calm + (1 - SERVED_WELL) * cls.fade
+
     def _fits_use(self, task: _Task, machine: _Machine) -> bool:
-        """Room by use: the class is served in full there with this task, and memory will not run out."""
+        """Room by use: the class is served well there with this task, and memory will not run out."""
         cores, memory = machine.used(self._now, (self._ratios[0], self._ratios[1]))
         more_cores, more_memory = self._expected(task)
         return (
-            cores + more_cores <= task.cls.calm * machine.cores
+            cores + more_cores <= self._busy_limit(task.cls) * machine.cores
             and memory + more_memory <= MEMORY_SAFE * machine.memory
         )
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -26,7 +26,7 @@
 
 def crowded(**changes: Any) -> Settings:
     """No machine serves in full, so the least-loaded pick decides; one placer, and sizes that make g one."""
-    plain = settings(task_class(calm=0.01), siblings=1, **changes)
+    plain = settings(task_class(calm=0.01, fade=0.0), siblings=1, **changes)
     return replace(plain, mean_cores=min(plain.kind_cores) * plain.accepts_cores)
 
 
@@ -186,3 +186,12 @@
     driver = Driver(crowded())
     driver.listing(machine(0, free_cores=20.0, free_memory=-10.0), machine(1, free_cores=5.0))
     assert driver.bind(1) == 1
+
+
+@pytest.mark.parametrize(("free", "home_kept"), [(2.6, True), (0.9, False)])
+def test_a_little_crowding_keeps_the_home_and_more_gives_it_up(free: float, home_kept: bool) -> None:
+    driver = Driver(settings(task_class(calm=0.9, fade=0.2)))  # served three quarters at 0.95 of 30 cores
+    driver.listing(*(machine(n, free_cores=28.0, free_memory=48.0) for n in range(3)))
+    driver.find(100, 2, service=9)
+    driver.send(AttemptClosed(77, 0, 2, End.ENDED, Reason.UNTOLD, True, 5.0, Load(free, 40.0)))
+    assert (driver.bind(1, service=9) == 2) == home_kept
