--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -22,6 +22,7 @@
 LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
 MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
 SERVED_WELL = 0.75  # of full service: a little crowding costs less than a start away from the service's homes
+SERVICES_KEPT = 10_000  # services whose use is remembered: bounds memory in a placer that runs for months
 MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
@@ -348,12 +349,18 @@
         if event.task in self._tasks or not 0 <= event.cls < len(self._settings.classes):
             return
         cls = self._settings.classes[event.cls]
-        task = _Task(event.task, cls, event.service, event.cores, event.memory)
+        task = self._task(event, cls)
         task.deadline = self._now + event.patience_ms - 2 * self._settings.tick_ms
         self._tasks[task.id] = task
         self._out.append(api.SetTimer(max(self._now, task.deadline), task.id << 2 | DEADLINE))
         self._try(task)
 
+    def _task(self, event: api.TaskArrived | api.TaskFound, cls: api.TaskClass) -> _Task:
+        """Asks that are not told, or make no sense, count as the mean."""
+        cores = event.cores if 0 < event.cores < math.inf else self._settings.mean_cores
+        memory = event.memory if 0 < event.memory < math.inf else self._settings.mean_memory
+        return _Task(event.task, cls, event.service, cores, memory)
+
     def _try(self, task: _Task) -> None:
         """Offer the task to the machine picked, wait where none passes, or give the final answer."""
         self._waiting.pop(task.id, None)
@@ -554,6 +561,8 @@
     def _learn(self, service: int, which: int, ratio: float) -> None:
         self._ratios[which] += LEARN * (ratio - self._ratios[which])
         of_service = self._service_ratios.setdefault(service, list(self._ratios))
+        if len(self._service_ratios) > SERVICES_KEPT:  # the longest known go first: services come and go
+            del self._service_ratios[next(iter(self._service_ratios))]
         of_service[which] += (ratio - of_service[which]) / 4  # follows its own changes within a few notes
 
     def _take_load(self, ident: api.MachineId, load: api.Load | None) -> None:
@@ -647,7 +656,7 @@
         if not 0 <= event.cls < len(self._settings.classes):
             return
         cls = self._settings.classes[event.cls]
-        task = _Task(event.task, cls, event.service, event.cores, event.memory)
+        task = self._task(event, cls)
         task.answered, task.sent = True, 1
         attempt = _Attempt(task, 0, self._machines.get(event.machine), self._now)
         attempt.placed = True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,8 +20,10 @@
     Refuse,
     SetTimer,
     Subscribe,
+    TaskNote,
     TaskPlaced,
     TimerFired,
+    Topic,
 )
 
 FLEET = [machine(n) for n in range(12)]
@@ -251,3 +253,13 @@
     assert pauses[0] < pauses[-1] < 8000.0 / 2 + 1
     driver.listing(*FLEET, after=10.0)
     assert driver.send(TimerFired(timer.token), after=10.0) == []
+
+
+@pytest.mark.parametrize("odd", [0.0, -1.0, float("nan"), float("inf")])
+def test_a_task_whose_ask_makes_no_sense_counts_as_a_mean_one(odd: float) -> None:
+    driver = Driver()
+    driver.listing(*FLEET)
+    bound = driver.bind(1, cores=odd, memory=odd)
+    driver.place(1, 0, bound)
+    driver.send(TaskNote(1, 0, bound, Topic.CORES_USED, 0.5))
+    assert driver.bind(2) in {m.id for m in FLEET}
