--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -22,6 +22,9 @@
 LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
 MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
 SERVED_WELL = 0.75  # of full service: a little crowding costs less than a start away from the service's homes
+STUCK_TRIES = (
+    4  # waiting tasks of one shape tried in vain in a pass: the rest would meet the same lack of room
+)
 SERVICES_KEPT = 10_000  # services whose use is remembered: bounds memory in a placer that runs for months
 MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
@@ -492,14 +495,13 @@
     def _try_waiting(self) -> None:
         """Those that wait go by priority, then by worth for what they ask, then by age."""
         waiting = [self._tasks[ident] for ident in self._waiting]
-        stuck: dict[tuple[str, int | None, float, float], None] = {}
+        stuck: dict[tuple[str, float, float], int] = {}
         for task in sorted(waiting, key=lambda t: (-t.cls.priority, -t.cls.worth)):
-            service = None if task.cls.apart is api.Place.NONE else task.service
-            shape = task.cls.name, service, task.cores, task.memory
-            if shape not in stuck or task.maybe_ran:
-                self._try(task)
+            shape = task.cls.name, task.cores, task.memory
+            if stuck.get(shape, 0) < STUCK_TRIES or task.maybe_ran:
+                self._try(task)  # one that waits on goes to the end, so the next pass tries others
                 if task.id in self._waiting:
-                    stuck[shape] = None
+                    stuck[shape] = stuck.get(shape, 0) + 1
 
     # ---- Health ---------------------------------------------------------------------------------------
 
