--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 
 from kelpfront import interface as api
@@ -49,6 +49,12 @@
     recent: _Changes = field(default_factory=deque)  # own binds and ends that the view may lack
     recent_cores: float = 0.0
     recent_memory: float = 0.0
+    use_cores: float = 0.0
+    use_memory: float = 0.0
+    base_cores: float = 0.0
+    base_memory: float = 0.0
+    ready: bool = False
+    awaited: int = 0
     load: api.Load | None = None
     load_at: float = -math.inf
     recent_use: _Changes = field(default_factory=deque)  # as `recent`, in expected use
@@ -65,14 +71,17 @@
     def id(self) -> api.MachineId:
         return self.view.id
 
-    @property
-    def ready(self) -> bool:
-        return self.view.state is api.MachineState.READY
-
     @property
     def idle(self) -> bool:
         """No own attempt there awaits its acknowledgement."""
-        return all(attempt.placed for attempt in self.open.values())
+        return self.awaited == 0
+
+    def show(self, view: api.Machine) -> None:
+        """Take the list's entry; sums are kept up to date on change, since each pick reads them all."""
+        self.view = view
+        self.ready = view.state is api.MachineState.READY
+        self.base_cores = self.cores - view.free_cores
+        self.base_memory = self.memory - view.free_memory
 
     def note_change(self, now: float, cores: float, memory: float) -> None:
         self.recent.append((now, cores, memory))
@@ -85,33 +94,35 @@
             _, cores, memory = self.recent.popleft()
             self.recent_cores -= cores
             self.recent_memory -= memory
-        asked_cores = self.cores - self.view.free_cores + self.recent_cores
-        asked_memory = self.memory - self.view.free_memory + self.recent_memory
-        return max(0.0, asked_cores), max(0.0, asked_memory)
+        cores, memory = self.base_cores + self.recent_cores, self.base_memory + self.recent_memory
+        return cores if cores > 0 else 0.0, memory if memory > 0 else 0.0
 
     def note_use(self, now: float, cores: float, memory: float) -> None:
         self.recent_use.append((now, cores, memory))
+        self.use_cores += cores
+        self.use_memory += memory
 
-    def used(self, now: float, ratios: tuple[float, float]) -> tuple[float, float]:
+    def used(self, now: float, asked: tuple[float, float], ratios: list[float]) -> tuple[float, float]:
         """Cores and memory in use soon: the machine's report with own changes since, else what is asked."""
-        while self.recent_use and self.recent_use[0][0] <= max(self.load_at, now - LOAD_OLD_MS) - VIEW_LAG_MS:
-            self.recent_use.popleft()
-        asked_cores, asked_memory = self.asked(now)
-        cores, memory = asked_cores * ratios[0], asked_memory * ratios[1]
+        told_at = max(self.load_at, now - LOAD_OLD_MS)
+        while self.recent_use and self.recent_use[0][0] <= told_at - VIEW_LAG_MS:
+            _, cores, memory = self.recent_use.popleft()
+            self.use_cores -= cores
+            self.use_memory -= memory
+        cores, memory = asked[0] * ratios[0], asked[1] * ratios[1]
         load = self.load
         if load is not None and now - self.load_at <= LOAD_OLD_MS:
             if load.free_cores is not None:
-                cores = self.cores - load.free_cores + sum(change[1] for change in self.recent_use)
-            if load.free_memory is not None:
-                told = self.memory - load.free_memory + sum(change[2] for change in self.recent_use)
-                memory = max(memory, told)  # young tasks still grow into what they will use
+                cores = self.cores - load.free_cores + self.use_cores
+            if load.free_memory is not None:  # young tasks still grow into what they will use
+                memory = max(memory, self.memory - load.free_memory + self.use_memory)
         return max(0.0, cores), max(0.0, memory)
 
     def forget_recent(self) -> None:
         self.recent.clear()
         self.recent_use.clear()
         self.load = None
-        self.recent_cores = self.recent_memory = 0.0
+        self.recent_cores = self.recent_memory = self.use_cores = self.use_memory = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -157,6 +168,8 @@
         self._born_at: float | None = None
         self._out: list[api.Action] = []
         self._machines: dict[api.MachineId, _Machine] = {}
+        self._ready: list[_Machine] = []  # those that the list names ready, and their cores
+        self._ready_cores = 0.0
         self._tasks: dict[api.TaskId, _Task] = {}
         self._attempts: dict[_Key, _Attempt] = {}
         self._services: dict[int, dict[_Key, _Attempt]] = {}
@@ -202,10 +215,8 @@
 
     def _load_estimate(self) -> float:
         """The paper's load: the asked share of cores in the view, capped."""
-        ready = [m for m in self._machines.values() if m.ready]
-        cores = sum(m.cores for m in ready)
-        asked = sum(m.asked(self._now)[0] for m in ready)
-        return min(LOAD_CAP, asked / cores) if cores else LOAD_CAP
+        asked = sum(m.asked(self._now)[0] for m in self._ready)
+        return min(LOAD_CAP, asked / self._ready_cores) if self._ready_cores else LOAD_CAP
 
     def _rank(self, size: float) -> tuple[int, float]:
         """The rank of a size and the upper end of that rank, by the paper's rank width."""
@@ -215,35 +226,31 @@
 
     def _lower_counters(self, machine: _Machine) -> None:
         """Each rank's lowest counter: for an empty machine, and for one that is new or returns."""
-        others = [m for m in self._machines.values() if m.ready and m is not machine]
+        others = [m for m in self._ready if m is not machine]
         for rank in {rank: None for m in others for rank in m.counters}:
             machine.counters[rank] = min(m.counters.get(rank, 0.0) for m in others)
 
     def _count(self, machine: _Machine, rank: int, size: float) -> None:
         """An offer raises the counter by the time that the size takes there; a refusal does not lower it."""
-        ready = [m.cores for m in self._machines.values() if m.ready]
-        mean = sum(ready) / len(ready) if ready else machine.cores
+        mean = self._ready_cores / len(self._ready)
         machine.counters[rank] = machine.counters.get(rank, 0.0) + size * mean / machine.cores
 
     # ---- Filters --------------------------------------------------------------------------------------
 
-    def _fits_kind(self, task: _Task, machine: _Machine) -> bool:
-        return task.cls.needs_kind is None or machine.view.kind == task.cls.needs_kind
-
-    def _fits_spread(self, task: _Task, machine: _Machine) -> bool:
-        """Own attempts and tasks of the service in that place, this one included, stay within the most.
+    def _taken(self, task: _Task) -> tuple[Counter[int], int]:
+        """Own attempts and tasks of the service in each place of its spread, and those that may be anywhere.
 
         One on a machine that no list has named yet may lie anywhere, so it counts everywhere.
         """
-        if task.cls.apart is api.Place.NONE:
-            return True
-        place = _place(machine, task.cls.apart)
-        there = sum(
-            1
-            for attempt in self._services.get(task.service, {}).values()
-            if attempt.machine is None or _place(attempt.machine, task.cls.apart) == place
-        )
-        return there + 1 <= task.cls.together_max
+        there: Counter[int] = Counter()
+        anywhere = 0
+        if task.cls.apart is not api.Place.NONE:
+            for attempt in self._services.get(task.service, {}).values():
+                if attempt.machine is None:
+                    anywhere += 1
+                else:
+                    there[_place(attempt.machine, task.cls.apart)] += 1
+        return there, anywhere
 
     def _fits_effect(self, task: _Task, machine: _Machine) -> bool:
         """After an attempt that may have run: only where the repeat does no harm, and only in time."""
@@ -265,8 +272,10 @@
             return False
         cores, memory = machine.asked(self._now)
         unseen = self._settings.siblings - 1  # the other placers' fresh binds, taken to be as many as ours
-        cores += unseen * max(0.0, machine.recent_cores)
-        memory += unseen * max(0.0, machine.recent_memory)
+        if machine.recent_cores > 0:
+            cores += unseen * machine.recent_cores
+        if machine.recent_memory > 0:
+            memory += unseen * machine.recent_memory
         return (
             cores + task.cores <= self._settings.accepts_cores * machine.cores
             and memory + task.memory <= self._settings.accepts_memory * machine.memory
@@ -283,7 +292,7 @@
 
     def _fits_use(self, task: _Task, machine: _Machine) -> bool:
         """Room by use: the class is served well there with this task, and memory will not run out."""
-        cores, memory = machine.used(self._now, (self._ratios[0], self._ratios[1]))
+        cores, memory = machine.used(self._now, machine.asked(self._now), self._ratios)
         more_cores, more_memory = self._expected(task)
         return (
             cores + more_cores <= self._busy_limit(task.cls) * machine.cores
@@ -292,39 +301,50 @@
 
     # ---- Pick -----------------------------------------------------------------------------------------
 
-    def _candidates(self, task: _Task) -> list[_Machine]:
-        """Machines that pass the filters; those that just refused the task or are set aside come last."""
-        allowed = [
-            m
-            for m in self._machines.values()
-            if m.ready
-            and self._fits_kind(task, m)
-            and self._fits_effect(task, m)
-            and self._fits_cold(m)
-            and self._fits_spread(task, m)
-        ]
-        roomy = [m for m in allowed if self._fits_room(task, m)]
+    def _candidates(self, task: _Task) -> tuple[list[_Machine], list[_Machine]]:
+        """Machines that pass the filters, and those left out for now by room or health.
+
+        Machines that just refused the task, are crowded by use or set aside come last.
+        """
+        there, anywhere = self._taken(task)
+        most = task.cls.together_max - anywhere
+        spread, kind = task.cls.apart is not api.Place.NONE, task.cls.needs_kind
+        allowed, roomy, left_out = [], [], []
+        for machine in self._ready:
+            room, healthy = self._fits_room(task, machine), self._fits_health(machine)
+            if not (room and healthy):
+                left_out.append(machine)
+            if (kind is not None and machine.view.kind != kind) or not self._fits_cold(machine):
+                continue
+            if task.maybe_ran and not self._fits_effect(task, machine):
+                continue
+            if spread and there[_place(machine, task.cls.apart)] >= most:
+                continue
+            allowed.append(machine)
+            if room:
+                roomy.append(machine)
         if roomy or not (self._settings.pushes_out and task.cls.priority > self._lowest_priority):
             allowed = roomy
-        healthy = [m for m in allowed if self._fits_health(m)]
-        fresh = [m for m in healthy if m.id not in task.tried]
+        healthy_ones = [m for m in allowed if self._fits_health(m)]
+        fresh = [m for m in healthy_ones if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
-        return calm or fresh or healthy or [m for m in allowed if m.idle]
+        return calm or fresh or healthy_ones or [m for m in allowed if m.idle], left_out
 
     def _pick(self, task: _Task) -> _Machine | None:
-        passing = self._candidates(task)
+        passing, left_out = self._candidates(task)
         if not passing:
             return None
         size = task.cores / self._settings.mean_cores
         rank, top = self._rank(size)
         lowest = min(m.counters.get(rank, 0.0) for m in passing)
-        for machine in self._machines.values():  # one left out for now returns at the pace of the others
-            if machine.ready and not (self._fits_health(machine) and self._fits_room(task, machine)):
-                machine.counters[rank] = max(lowest, machine.counters.get(rank, 0.0))
+        for machine in left_out:  # one left out for now returns at the pace of the others
+            machine.counters[rank] = max(lowest, machine.counters.get(rank, 0.0))
         safe = [m for m in passing if m.counters.get(rank, 0.0) + size <= lowest + self._tightness * top]
         safe = safe or [m for m in passing if m.counters.get(rank, 0.0) == lowest]
         near = [m for m in safe if self._fits_use(task, m)] or self._least_loaded(task, safe)
-        near = [m for m in near if self._holds(m, task.service)] or near
+        # A start is cheap where the service runs.
+        held = {id(a.machine) for a in self._services.get(task.service, {}).values()}
+        near = [m for m in near if id(m) in held] or near
         machine = min(near, key=lambda m: _home(task.service, m.id))
         self._count(machine, rank, size)
         return machine
@@ -342,10 +362,6 @@
         step = task.cores / min(m.cores for m in safe)
         return [m for m, share in zip(safe, asked, strict=True) if share <= min(asked) + step]
 
-    def _holds(self, machine: _Machine, service: int) -> bool:
-        """Whether the machine holds a task of the service, so that a start there is cheap."""
-        return any(a.machine is machine for a in self._services.get(service, {}).values())
-
     # ---- Attempts -------------------------------------------------------------------------------------
 
     def _arrived(self, event: api.TaskArrived) -> None:
@@ -370,8 +386,7 @@
         if task.answered:
             return
         hopeless = task.maybe_ran and (
-            task.cls.effect is api.Effect.UNSAFE
-            or not any(m.ready and self._fits_effect(task, m) for m in self._machines.values())
+            task.cls.effect is api.Effect.UNSAFE or not any(self._fits_effect(task, m) for m in self._ready)
         )
         if self._now >= task.deadline or task.sent >= self._settings.max_attempts or hopeless:
             self._answer(task)
@@ -417,6 +432,8 @@
     def _keep(self, attempt: _Attempt) -> None:
         key = attempt.task.id, attempt.number
         self._attempts[key] = attempt
+        if attempt.machine is not None:
+            attempt.machine.awaited += not attempt.placed
         self._services.setdefault(attempt.task.service, {})[key] = attempt
         if attempt.machine is not None:
             attempt.machine.open[key] = attempt
@@ -435,6 +452,7 @@
         machine = attempt.machine
         if machine is not None:
             machine.open.pop(key, None)
+            machine.awaited -= not attempt.placed
             if attempt.placed or event.end in api.NEVER_RAN:
                 machine.note_change(self._now, -task.cores, -task.memory)
                 cores, memory = self._expected(task)
@@ -463,6 +481,8 @@
         if attempt is None or attempt.placed:
             return
         attempt.placed = True
+        if attempt.machine is not None:
+            attempt.machine.awaited -= 1
         attempt.task.answered = True
         self._waiting.pop(event.task, None)
         if math.isfinite(event.took_ms):
@@ -495,13 +515,12 @@
     def _try_waiting(self) -> None:
         """Those that wait go by priority, then by worth for what they ask, then by age."""
         waiting = [self._tasks[ident] for ident in self._waiting]
-        stuck: dict[tuple[str, float, float], int] = {}
+        stuck: Counter[tuple[str, float, float]] = Counter()
         for task in sorted(waiting, key=lambda t: (-t.cls.priority, -t.cls.worth)):
             shape = task.cls.name, task.cores, task.memory
-            if stuck.get(shape, 0) < STUCK_TRIES or task.maybe_ran:
+            if stuck[shape] < STUCK_TRIES or task.maybe_ran:
                 self._try(task)  # one that waits on goes to the end, so the next pass tries others
-                if task.id in self._waiting:
-                    stuck[shape] = stuck.get(shape, 0) + 1
+                stuck[shape] += task.id in self._waiting
 
     # ---- Health ---------------------------------------------------------------------------------------
 
@@ -525,9 +544,8 @@
         machine.strikes = min(2 * STRIKES, machine.strikes + weight)
         if machine.strikes < STRIKES or self._now < machine.aside_until:
             return
-        ready = [m for m in self._machines.values() if m.ready]
-        aside = sum(m.cores for m in ready if m is machine or m.strikes >= STRIKES)
-        if aside > ASIDE_SHARE * sum(m.cores for m in ready):
+        aside = sum(m.cores for m in self._ready if m is machine or m.strikes >= STRIKES)
+        if aside > ASIDE_SHARE * self._ready_cores:
             machine.strikes = STRIKES / 2
             return
         machine.aside_for = max(VIEW_LAG_MS, min(2 * machine.aside_for, self._rules.cold_ms))
@@ -555,7 +573,7 @@
         task, machine = attempt.task, attempt.machine
         if machine is None or not attempt.placed or share >= MOVE_BELOW:
             return
-        others = [m for m in self._candidates(task) if m is not machine]
+        others = [m for m in self._candidates(task)[0] if m is not machine]
         if self._now >= machine.moved_at + VIEW_LAG_MS and any(self._fits_use(task, m) for m in others):
             machine.moved_at = self._now
             self._out.append(api.Move(task.id))
@@ -605,18 +623,23 @@
             return
         if event.kind is not api.ListKind.CACHED:
             self._list_asked, self._list_fails = False, 0
-        named = {entry.id: None for entry in event.machines}
         for entry in event.machines:
             self._list_entry(entry)
         if event.kind is not api.ListKind.CHANGES:
+            named = {entry.id for entry in event.machines}
             for machine in self._machines.values():
-                if machine.id not in named:
-                    machine.view = replace(machine.view, state=api.MachineState.GONE)
-        for ident in [m.id for m in self._machines.values() if m.view.state is api.MachineState.GONE]:
-            if not self._machines[ident].open:
-                del self._machines[ident]
+                if machine.id not in named and machine.view.state is not api.MachineState.GONE:
+                    machine.show(replace(machine.view, state=api.MachineState.GONE))
+                    self._count_ready()
+        gone = [m for m in self._machines.values() if m.view.state is api.MachineState.GONE and not m.open]
+        for machine in gone:
+            del self._machines[machine.id]
         self._try_waiting()
 
+    def _count_ready(self) -> None:
+        self._ready = [m for m in self._machines.values() if m.ready]
+        self._ready_cores = sum(m.cores for m in self._ready)
+
     def _list_failed(self) -> None:
         """Ask anew after a pause that doubles, with chance in it, and stays well inside the time to ask."""
         self._list_asked = False
@@ -634,6 +657,8 @@
         if machine is None:
             cores, memory = self._settings.kind_cores[entry.kind], self._settings.kind_memory[entry.kind]
             machine = self._machines[entry.id] = _Machine(entry, cores, memory)
+            machine.show(entry)
+            self._count_ready()
             self._adopt(machine)
             self._lower_counters(machine)
         else:
@@ -643,7 +668,10 @@
             if restarted:
                 machine.strikes = 0.0
                 machine.forget_recent()
-            machine.view = entry
+            was_ready = machine.ready
+            machine.show(entry)
+            if machine.ready != was_ready:
+                self._count_ready()
         empty = entry.free_cores >= machine.cores and not machine.open and self._now > machine.last_bind
         if empty and self._settings.list_tells_free:
             self._lower_counters(machine)
