Use over ask learned from the first notes in full

Cause: one placer of many gets few notes, so the ratio stayed near 1, machines looked crowded and homes were given up.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -176,6 +176,7 @@
         self._usual_ms = min(cls.aim_ms for cls in settings.classes)  # from offer to acknowledgement
         self._waiting: dict[api.TaskId, None] = {}
         self._ratios = [1.0, 1.0]  # of use to what is asked, cores and memory, over all own tasks
+        self._notes = [0, 0]
         self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
         self._wake_set = False
@@ -579,7 +580,9 @@
             self._out.append(api.Move(task.id))
 
     def _learn(self, service: int, which: int, ratio: float) -> None:
-        self._ratios[which] += LEARN * (ratio - self._ratios[which])
+        """Means of use over what is asked: the first notes count in full, as one placer of many gets few."""
+        self._notes[which] += 1
+        self._ratios[which] += max(LEARN, 1 / self._notes[which]) * (ratio - self._ratios[which])
         of_service = self._service_ratios.setdefault(service, list(self._ratios))
         if len(self._service_ratios) > SERVICES_KEPT:  # the longest known go first: services come and go
             del self._service_ratios[next(iter(self._service_ratios))]
