Tightness by the root of the number of placers

Cause: divided by 39 to 200 placers g falls to 1, and a third of picks found the home outside the guardrails. Excesses of placers that share nothing add up as chance does.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -159,10 +159,10 @@
         self._settings = settings
         self._rules = settings.rules
         self._random = random.Random(seed)
-        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. Tighter
-        # leaves no choice for cheap starts; looser would let one placer alone fill a machine.
+        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. The excess
+        # of placers that share nothing adds up as chance does, by the root of their number.
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
-        self._tightness = max(1.0, smallest / settings.siblings)
+        self._tightness = max(1.0, smallest / math.sqrt(settings.siblings))
         self._lowest_priority = min(cls.priority for cls in settings.classes)
         self._now = 0.0
         self._born_at: float | None = None
