--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -179,6 +179,7 @@
         self._notes = [0, 0]
         self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
+        self._unseen = 0.0, 0.0
         self._wake_set = False
         self._list_fails = 0
         self._list_asked = False
@@ -272,11 +273,9 @@
         ):
             return False
         cores, memory = machine.asked(self._now)
-        unseen = self._settings.siblings - 1  # the other placers' fresh binds, taken to be as many as ours
-        if machine.recent_cores > 0:
-            cores += unseen * machine.recent_cores
-        if machine.recent_memory > 0:
-            memory += unseen * machine.recent_memory
+        part = machine.cores / self._ready_cores
+        cores += part * self._unseen[0]
+        memory += part * self._unseen[1]
         return (
             cores + task.cores <= self._settings.accepts_cores * machine.cores
             and memory + task.memory <= self._settings.accepts_memory * machine.memory
@@ -307,6 +306,15 @@
 
         Machines that just refused the task, are crowded by use or set aside come last.
         """
+        for machine in self._ready:
+            machine.asked(self._now)
+        # The other placers' fresh binds: taken to be as many as ours, over the fleet by size. Few are ours, so
+        # those on one machine say little of it: one own bind must not shut it.
+        others = self._settings.siblings - 1
+        self._unseen = (
+            others * max(0.0, sum(m.recent_cores for m in self._ready)),
+            others * max(0.0, sum(m.recent_memory for m in self._ready)),
+        )
         there, anywhere = self._taken(task)
         most = task.cls.together_max - anywhere
         spread, kind = task.cls.apart is not api.Place.NONE, task.cls.needs_kind
