--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -273,9 +273,9 @@
         ):
             return False
         cores, memory = machine.asked(self._now)
-        part = machine.cores / self._ready_cores
-        cores += part * self._unseen[0]
-        memory += part * self._unseen[1]
+        part, root = machine.cores / self._ready_cores, math.sqrt(self._settings.siblings - 1)
+        cores += max(root * machine.recent_cores, part * self._unseen[0])
+        memory += max(root * machine.recent_memory, part * self._unseen[1])
         return (
             cores + task.cores <= self._settings.accepts_cores * machine.cores
             and memory + task.memory <= self._settings.accepts_memory * machine.memory
