--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -337,6 +337,8 @@
         healthy_ones = [m for m in allowed if self._fits_health(m)]
         fresh = [m for m in healthy_ones if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
+        if not calm and task.cls.priority == self._lowest_priority and not task.maybe_ran:
+            return [], left_out
         return calm or fresh or healthy_ones or [m for m in allowed if m.idle], left_out
 
     def _pick(self, task: _Task) -> _Machine | None:
