--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -27,6 +27,8 @@
 )
 SERVICES_KEPT = 10_000  # services whose use is remembered: bounds memory in a placer that runs for months
 MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
+REFUSED_SHARE = 0.1  # of offers refused for room: a refusal costs little, but so does a moment's wait
+UNSEEN_MOST = 0.5  # of a machine's room taken to be gone already: more would leave capacity idle
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 
@@ -179,7 +181,7 @@
         self._notes = [0, 0]
         self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
-        self._unseen = 0.0, 0.0
+        self._unseen = 0.0
         self._wake_set = False
         self._list_fails = 0
         self._list_asked = False
@@ -273,14 +275,23 @@
         ):
             return False
         cores, memory = machine.asked(self._now)
-        part, root = machine.cores / self._ready_cores, math.sqrt(self._settings.siblings - 1)
-        cores += max(root * machine.recent_cores, part * self._unseen[0])
-        memory += max(root * machine.recent_memory, part * self._unseen[1])
+        settings, room = self._settings, 1 - self._unseen
         return (
-            cores + task.cores <= self._settings.accepts_cores * machine.cores
-            and memory + task.memory <= self._settings.accepts_memory * machine.memory
+            cores + task.cores <= room * settings.accepts_cores * machine.cores
+            and memory + task.memory <= room * settings.accepts_memory * machine.memory
         )
 
+    def _learn_unseen(self, refused: bool) -> None:
+        """Share of a machine's room that others take within the view's lag: as much as keeps refusals rare.
+
+        One more mean task after a refusal for room, and less after offers taken, so that the share settles
+        where REFUSED_SHARE of the offers are refused. It follows any cause: more placers, a late list, a rise.
+        """
+        settings = self._settings
+        step = settings.mean_cores / (min(settings.kind_cores) * settings.accepts_cores)
+        self._unseen += step if refused else -step * REFUSED_SHARE / (1 - REFUSED_SHARE)
+        self._unseen = min(UNSEEN_MOST, max(0.0, self._unseen))
+
     def _expected(self, task: _Task) -> tuple[float, float]:
         """Cores and memory that the task will use, from what its service's own tasks use."""
         ratios = self._service_ratios.get(task.service, self._ratios)
@@ -306,15 +317,6 @@
 
         Machines that just refused the task, are crowded by use or set aside come last.
         """
-        for machine in self._ready:
-            machine.asked(self._now)
-        # The other placers' fresh binds: taken to be as many as ours, over the fleet by size. Few are ours, so
-        # those on one machine say little of it: one own bind must not shut it.
-        others = self._settings.siblings - 1
-        self._unseen = (
-            others * max(0.0, sum(m.recent_cores for m in self._ready)),
-            others * max(0.0, sum(m.recent_memory for m in self._ready)),
-        )
         there, anywhere = self._taken(task)
         most = task.cls.together_max - anywhere
         spread, kind = task.cls.apart is not api.Place.NONE, task.cls.needs_kind
@@ -483,6 +485,8 @@
 
     def _take_refusal(self, task: _Task, machine: _Machine, reason: api.Reason) -> None:
         """The view overstates this machine's room: nothing as large goes there until it could catch up."""
+        if reason in (api.Reason.NO_CORES, api.Reason.NO_MEMORY):
+            self._learn_unseen(True)
         machine.full_until = self._now + VIEW_LAG_MS
         machine.full_cores = task.cores if reason is api.Reason.NO_CORES else math.inf
         machine.full_memory = task.memory if reason is api.Reason.NO_MEMORY else math.inf
@@ -492,6 +496,7 @@
         if attempt is None or attempt.placed:
             return
         attempt.placed = True
+        self._learn_unseen(False)
         if attempt.machine is not None:
             attempt.machine.awaited -= 1
         attempt.task.answered = True
