--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -32,12 +32,22 @@
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 
+WHOLE = ""  # the key of what speaks of a whole machine, not of one class there
 WAKE, LIST_CALL, DEADLINE = 0, 1, 2  # what a timer token is for, in its two lowest bits
 
 
 # ---- Machine view ---------------------------------------------------------------------------------------
 
 
+@dataclass(slots=True, eq=False)
+class _Health:
+    """Bad outcomes, less what good ones took off; set aside while at STRIKES, then tried by one task."""
+
+    strikes: float = 0.0
+    aside_for: float = 0.0
+    aside_until: float = -math.inf
+
+
 @dataclass(slots=True, eq=False)
 class _Machine:
     """A machine as the list, its answers and this placer's own binds show it."""
@@ -61,13 +71,9 @@
     load_at: float = -math.inf
     recent_use: _Changes = field(default_factory=deque)  # as `recent`, in expected use
     offers: deque[float] = field(default_factory=deque)
-    full_until: float = -math.inf
-    full_cores: float = math.inf
-    full_memory: float = math.inf
+    shut: dict[api.Reason, tuple[float, float]] = field(default_factory=dict)  # until when, from which size
     moved_at: float = -math.inf
-    strikes: float = 0.0
-    aside_for: float = 0.0
-    aside_until: float = -math.inf
+    health: dict[str, _Health] = field(default_factory=dict)  # what spoke badly of it, by class or WHOLE
 
     @property
     def id(self) -> api.MachineId:
@@ -161,8 +167,8 @@
         self._settings = settings
         self._rules = settings.rules
         self._random = random.Random(seed)
-        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. The excess
-        # of placers that share nothing adds up as chance does, by the root of their number.
+        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. The
+        # excess of placers that share nothing adds up as chance does, by the root of their number.
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
         self._tightness = max(1.0, smallest / math.sqrt(settings.siblings))
         self._lowest_priority = min(cls.priority for cls in settings.classes)
@@ -270,10 +276,10 @@
         )
 
     def _fits_room(self, task: _Task, machine: _Machine) -> bool:
-        if self._now < machine.full_until and (
-            task.cores >= machine.full_cores or task.memory >= machine.full_memory
-        ):
-            return False
+        for reason, (until, least) in machine.shut.items():
+            asks = task.memory if reason is api.Reason.NO_MEMORY else task.cores
+            if self._now < until and asks >= least:
+                return False
         cores, memory = machine.asked(self._now)
         settings, room = self._settings, 1 - self._unseen
         return (
@@ -285,7 +291,7 @@
         """Share of a machine's room that others take within the view's lag: as much as keeps refusals rare.
 
         One more mean task after a refusal for room, and less after offers taken, so that the share settles
-        where REFUSED_SHARE of the offers are refused. It follows any cause: more placers, a late list, a rise.
+        where REFUSED_SHARE of the offers are refused. It follows any cause: many placers, a late list.
         """
         settings = self._settings
         step = settings.mean_cores / (min(settings.kind_cores) * settings.accepts_cores)
@@ -322,7 +328,7 @@
         spread, kind = task.cls.apart is not api.Place.NONE, task.cls.needs_kind
         allowed, roomy, left_out = [], [], []
         for machine in self._ready:
-            room, healthy = self._fits_room(task, machine), self._fits_health(machine)
+            room, healthy = self._fits_room(task, machine), self._fits_health(task.cls, machine)
             if not (room and healthy):
                 left_out.append(machine)
             if (kind is not None and machine.view.kind != kind) or not self._fits_cold(machine):
@@ -336,7 +342,7 @@
                 roomy.append(machine)
         if roomy or not (self._settings.pushes_out and task.cls.priority > self._lowest_priority):
             allowed = roomy
-        healthy_ones = [m for m in allowed if self._fits_health(m)]
+        healthy_ones = [m for m in allowed if self._fits_health(task.cls, m)]
         fresh = [m for m in healthy_ones if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
         if not calm and task.cls.priority == self._lowest_priority and not task.maybe_ran:
@@ -484,12 +490,22 @@
             self._try(task)
 
     def _take_refusal(self, task: _Task, machine: _Machine, reason: api.Reason) -> None:
-        """The view overstates this machine's room: nothing as large goes there until it could catch up."""
-        if reason in (api.Reason.NO_CORES, api.Reason.NO_MEMORY):
-            self._learn_unseen(True)
-        machine.full_until = self._now + VIEW_LAG_MS
-        machine.full_cores = task.cores if reason is api.Reason.NO_CORES else math.inf
-        machine.full_memory = task.memory if reason is api.Reason.NO_MEMORY else math.inf
+        """The view overstates this machine's room: nothing as large goes there until it could catch up.
+
+        Where too many offers wait there, any size would meet the same; where no reason is told although the
+        view shows room, it turns the class away, and its health for the class holds that.
+        """
+        if reason is api.Reason.UNTOLD:
+            self._strike(machine, task.cls.name, STRIKES, "turned away")
+        elif reason is not api.Reason.NOT_HERE:
+            sizes = {api.Reason.NO_CORES: task.cores, api.Reason.NO_MEMORY: task.memory}
+            least = sizes.get(reason, 0.0)
+            if reason in sizes:
+                self._learn_unseen(True)
+            until, smaller = machine.shut.get(reason, (-math.inf, math.inf))
+            if self._now < until:
+                least = min(least, smaller)
+            machine.shut[reason] = self._now + VIEW_LAG_MS, least
 
     def _placed(self, event: api.TaskPlaced) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
@@ -504,7 +520,7 @@
         if math.isfinite(event.took_ms):
             self._usual_ms += LEARN * (event.took_ms - self._usual_ms)
         if self._settings.ack_when_running and attempt.machine is not None:
-            self._well(attempt.machine)
+            self._well(attempt.machine, attempt.task.cls)
 
     def _withdrawn(self, ident: api.TaskId) -> None:
         task = self._tasks.pop(ident, None)
@@ -540,35 +556,51 @@
 
     # ---- Health ---------------------------------------------------------------------------------------
 
-    def _fits_health(self, machine: _Machine) -> bool:
-        """In use, or back on trial: once its time is over it gets one attempt until one went well."""
-        return machine.strikes < STRIKES or (self._now >= machine.aside_until and machine.idle)
+    def _fits_health(self, cls: api.TaskClass, machine: _Machine) -> bool:
+        """In use for the class, or back on trial: once its time is over it gets one attempt at a time.
 
-    def _well(self, machine: _Machine) -> None:
-        machine.strikes /= 2
-        if machine.strikes < STRIKES:
-            machine.aside_for = 0.0
+        A machine may fail or turn away one class and serve the others; where two classes agree, it is the
+        machine.
+        """
+        if not machine.health:
+            return True
+        bad = {key for key, health in machine.health.items() if health.strikes >= STRIKES}
+        if len(bad - {cls.name}) < 2:
+            bad &= {WHOLE, cls.name}
+        return all(self._now >= machine.health[key].aside_until for key in bad) and (not bad or machine.idle)
+
+    def _well(self, machine: _Machine, cls: api.TaskClass) -> None:
+        for key in (WHOLE, cls.name):
+            health = machine.health.get(key)
+            if health is not None:
+                health.strikes /= 2
+                health.aside_for /= 2
+                if health.strikes < STRIKES / 4:
+                    del machine.health[key]
 
     def _judge(self, machine: _Machine, attempt: _Attempt, event: api.AttemptClosed) -> None:
-        """Silence and errors by count; a placed task lost without a word speaks of the whole machine."""
-        if event.end in (api.End.TIMED_OUT, api.End.UNREACHABLE, api.End.ERROR):
-            self._strike(machine, 1.0, event.end.value)
+        """Silence and errors by count; no connection, or a placed task lost, speaks of the whole machine."""
+        if event.end in (api.End.TIMED_OUT, api.End.ERROR):
+            self._strike(machine, attempt.task.cls.name, 1.0, event.end.value)
+        elif event.end is api.End.UNREACHABLE:
+            self._strike(machine, WHOLE, 1.0, event.end.value)
         elif event.end is api.End.RESET and event.reason in (api.Reason.UNTOLD, api.Reason.SENT_AWAY):
-            self._strike(machine, STRIKES if attempt.placed else 1.0, event.end.value)
+            self._strike(machine, WHOLE, STRIKES if attempt.placed else 1.0, event.end.value)
 
-    def _strike(self, machine: _Machine, weight: float, symptom: str) -> None:
-        machine.strikes = min(2 * STRIKES, machine.strikes + weight)
-        if machine.strikes < STRIKES or self._now < machine.aside_until:
+    def _strike(self, machine: _Machine, key: str, weight: float, symptom: str) -> None:
+        health = machine.health.setdefault(key, _Health())
+        health.strikes = min(2 * STRIKES, health.strikes + weight)
+        if health.strikes < STRIKES or self._now < health.aside_until:
             return
-        aside = sum(m.cores for m in self._ready if m is machine or m.strikes >= STRIKES)
-        if aside > ASIDE_SHARE * self._ready_cores:
-            machine.strikes = STRIKES / 2
+        bad = [m for m in self._ready if key in m.health and m.health[key].strikes >= STRIKES]
+        if key == WHOLE and sum(m.cores for m in bad) > ASIDE_SHARE * self._ready_cores:
+            health.strikes = STRIKES / 2
             return
-        machine.aside_for = max(VIEW_LAG_MS, min(2 * machine.aside_for, self._rules.cold_ms))
-        machine.aside_until = self._now + machine.aside_for
-        self._out.append(
-            api.Log(f"machine {machine.id:x} set aside for {machine.aside_for:.0f} ms: {symptom}")
-        )
+        if not health.aside_for:  # once a bout: the pauses that follow would flood the log
+            whom = f" for {key}" if key else ""
+            self._out.append(api.Log(f"machine {machine.id:x} set aside{whom}: {symptom}"))
+        health.aside_for = max(VIEW_LAG_MS, min(2 * health.aside_for, self._rules.cold_ms))
+        health.aside_until = self._now + health.aside_for
 
     def _noted(self, event: api.TaskNote) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
@@ -576,7 +608,7 @@
             return
         task = attempt.task
         if event.topic is api.Topic.RUNNING:
-            self._well(attempt.machine)
+            self._well(attempt.machine, task.cls)
         elif event.topic is api.Topic.SERVICE:
             self._relieve(attempt, event.value)
         elif event.topic is api.Topic.CORES_USED:
@@ -684,7 +716,7 @@
             if restarted or (entry.state is api.MachineState.READY and not machine.ready):
                 self._lower_counters(machine)
             if restarted:
-                machine.strikes = 0.0
+                machine.health.clear()
                 machine.forget_recent()
             was_ready = machine.ready
             machine.show(entry)
