--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -61,15 +61,15 @@
     recent: _Changes = field(default_factory=deque)  # own binds and ends that the view may lack
     recent_cores: float = 0.0
     recent_memory: float = 0.0
-    use_cores: float = 0.0
-    use_memory: float = 0.0
     base_cores: float = 0.0
     base_memory: float = 0.0
     ready: bool = False
     awaited: int = 0
-    load: api.Load | None = None
+    told_cores: float | None = None  # in use by the machine's report, and own changes that it may lack
+    told_memory: float | None = None
+    own_cores: float = 0.0
+    own_memory: float = 0.0
     load_at: float = -math.inf
-    recent_use: _Changes = field(default_factory=deque)  # as `recent`, in expected use
     offers: deque[float] = field(default_factory=deque)
     shut: dict[api.Reason, tuple[float, float]] = field(default_factory=dict)  # until when, from which size
     moved_at: float = -math.inf
@@ -95,6 +95,8 @@
         self.recent.append((now, cores, memory))
         self.recent_cores += cores
         self.recent_memory += memory
+        self.own_cores += cores
+        self.own_memory += memory
 
     def asked(self, now: float) -> tuple[float, float]:
         """Asked cores and memory: the view's, with own binds and ends that it cannot show yet."""
@@ -105,32 +107,21 @@
         cores, memory = self.base_cores + self.recent_cores, self.base_memory + self.recent_memory
         return cores if cores > 0 else 0.0, memory if memory > 0 else 0.0
 
-    def note_use(self, now: float, cores: float, memory: float) -> None:
-        self.recent_use.append((now, cores, memory))
-        self.use_cores += cores
-        self.use_memory += memory
-
-    def used(self, now: float, asked: tuple[float, float], ratios: list[float]) -> tuple[float, float]:
+    def used(self, now: float, ratios: list[float]) -> tuple[float, float]:
         """Cores and memory in use soon: the machine's report with own changes since, else what is asked."""
-        told_at = max(self.load_at, now - LOAD_OLD_MS)
-        while self.recent_use and self.recent_use[0][0] <= told_at - VIEW_LAG_MS:
-            _, cores, memory = self.recent_use.popleft()
-            self.use_cores -= cores
-            self.use_memory -= memory
-        cores, memory = asked[0] * ratios[0], asked[1] * ratios[1]
-        load = self.load
-        if load is not None and now - self.load_at <= LOAD_OLD_MS:
-            if load.free_cores is not None:
-                cores = self.cores - load.free_cores + self.use_cores
-            if load.free_memory is not None:  # young tasks still grow into what they will use
-                memory = max(memory, self.memory - load.free_memory + self.use_memory)
-        return max(0.0, cores), max(0.0, memory)
+        asked_cores, asked_memory = self.asked(now)
+        cores, memory = asked_cores * ratios[0], asked_memory * ratios[1]
+        if now - self.load_at <= LOAD_OLD_MS:
+            if self.told_cores is not None:
+                cores = self.told_cores + self.own_cores * ratios[0]
+            if self.told_memory is not None:  # young tasks still grow into what they will use
+                memory = max(memory, self.told_memory + self.own_memory * ratios[1])
+        return cores, memory
 
     def forget_recent(self) -> None:
         self.recent.clear()
-        self.recent_use.clear()
-        self.load = None
-        self.recent_cores = self.recent_memory = self.use_cores = self.use_memory = 0.0
+        self.recent_cores = self.recent_memory = 0.0
+        self.load_at = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -309,7 +300,7 @@
 
     def _fits_use(self, task: _Task, machine: _Machine) -> bool:
         """Room by use: the class is served well there with this task, and memory will not run out."""
-        cores, memory = machine.used(self._now, machine.asked(self._now), self._ratios)
+        cores, memory = machine.used(self._now, self._ratios)
         more_cores, more_memory = self._expected(task)
         return (
             cores + more_cores <= self._busy_limit(task.cls) * machine.cores
@@ -421,7 +412,6 @@
         machine.last_bind = self._now
         machine.offers.append(self._now)
         machine.note_change(self._now, task.cores, task.memory)
-        machine.note_use(self._now, *self._expected(task))
         self._out.append(api.Bind(task.id, machine.id, self._time_out(task)))
 
     def _time_out(self, task: _Task) -> float:
@@ -474,8 +464,6 @@
             machine.awaited -= not attempt.placed
             if attempt.placed or event.end in api.NEVER_RAN:
                 machine.note_change(self._now, -task.cores, -task.memory)
-                cores, memory = self._expected(task)
-                machine.note_use(self._now, -cores, -memory)
             self._judge(machine, attempt, event)
         task.tried[event.machine] = None
         if event.end is api.End.REFUSED and machine is not None:
@@ -636,9 +624,14 @@
         of_service[which] += (ratio - of_service[which]) / 4  # follows its own changes within a few notes
 
     def _take_load(self, ident: api.MachineId, load: api.Load | None) -> None:
-        if load is not None and ident in self._machines:
-            self._machines[ident].load = load
-            self._machines[ident].load_at = self._now
+        machine = self._machines.get(ident)
+        if load is None or machine is None:
+            return
+        machine.told_cores = None if load.free_cores is None else machine.cores - load.free_cores
+        machine.told_memory = None if load.free_memory is None else machine.memory - load.free_memory
+        machine.asked(self._now)  # drops own changes that report and view have by now
+        machine.own_cores, machine.own_memory = machine.recent_cores, machine.recent_memory
+        machine.load_at = self._now
 
     # ---- Cold budget ----------------------------------------------------------------------------------
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -25,8 +25,12 @@
 
 
 def crowded(**changes: Any) -> Settings:
-    """No machine serves in full, so the least-loaded pick decides; one placer, and sizes that make g one."""
-    plain = settings(task_class(calm=0.01, fade=0.0), siblings=1, **changes)
+    """No machine serves in full, so the least-loaded pick decides; one placer, and sizes that make g one.
+
+    The class is above the lowest priority, so it does not wait for room by use.
+    """
+    classes = task_class(calm=0.01, fade=0.0), task_class(priority=0)
+    plain = settings(*classes, siblings=1, **changes)
     return replace(plain, mean_cores=min(plain.kind_cores) * plain.accepts_cores)
 
 
@@ -164,12 +168,33 @@
     assert driver.send(TaskNote(1, 0, first, Topic.SERVICE, 0.05)) == []
 
 
-def test_the_other_placers_fresh_binds_are_taken_to_be_as_many_as_ours() -> None:
-    driver = Driver()  # three placers; room for 1.8 x 30 = 54 cores
-    driver.listing(machine(0, free_cores=-20.5), machine(1, free_cores=-23.5))
-    driver.find(100, 0, service=9)
-    assert driver.bind(1, service=9) == 0  # 51.5 cores there, as far as is known
-    assert of(driver.arrive(2, service=9), Bind) == []
+def test_room_that_others_take_is_learned_from_refusals_and_forgotten_as_offers_are_taken() -> None:
+    driver = Driver(settings(task_class(calm=9.0)))  # room for 1.8 x 30 = 54 cores
+    nearly_full, free = machine(0, free_cores=-22.9), machine(1, free_cores=0.0)
+    driver.listing(nearly_full)
+    assert driver.bind(1) == 0
+    driver.close(1, 0, 0, End.REFUSED, Reason.NO_CORES)
+    driver.listing(nearly_full, after=2000.0)
+    assert of(driver.arrive(2), Bind) == []
+    driver.listing(free, kind=ListKind.FULL, after=10.0)
+    for task in range(3, 60):
+        driver.place(task, 0, driver.bind(task, cores=0.01), after=2000.0)
+    driver.listing(nearly_full, after=10.0)
+    assert driver.bind(99) == 0
+
+
+def test_one_own_bind_does_not_shut_a_machine_however_many_placers_there_are() -> None:
+    driver = Driver(settings(siblings=200))
+    driver.listing(machine(0))
+    assert [driver.bind(n, after=5.0) for n in range(5)] == [0] * 5
+
+
+def test_tasks_of_the_lowest_priority_wait_where_they_would_crowd_a_machine_and_others_go() -> None:
+    classes = task_class(priority=0), task_class(priority=2)
+    driver = Driver(settings(*classes))
+    driver.listing(machine(0, free_cores=1.0))
+    assert of(driver.arrive(1, cls=0), Bind) == []
+    assert driver.bind(2, cls=1) == 0
 
 
 def test_where_machines_push_out_a_higher_priority_needs_no_room_but_prefers_it() -> None:
