--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -27,8 +27,8 @@
 )
 SERVICES_KEPT = 10_000  # services whose use is remembered: bounds memory in a placer that runs for months
 MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
-REFUSED_SHARE = 0.1  # of offers refused for room: a refusal costs little, but so does a moment's wait
-UNSEEN_MOST = 0.5  # of a machine's room taken to be gone already: more would leave capacity idle
+REFUSED_SHARE = 0.3  # of offers refused for room: a refusal costs little, but so does a moment's wait
+UNSEEN_MOST = 0.25  # of a machine's room taken to be gone already: more would leave capacity idle
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 
