Cold machines by turns of the common clock

Cause: a share of the budget for each placer leaves none for most of 160; the placers that have one see few tasks. Turns give the same sum in every window and move on. A deque of offers that grew on warm machines went with it. Test with 220 placers.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -70,7 +70,8 @@
     own_cores: float = 0.0
     own_memory: float = 0.0
     load_at: float = -math.inf
-    offers: deque[float] = field(default_factory=deque)
+    slot: int = -1  # of the cold budget, and the turns left in it
+    turns: int = 0
     shut: dict[api.Reason, tuple[float, float]] = field(default_factory=dict)  # until when, from which size
     moved_at: float = -math.inf
     health: dict[str, _Health] = field(default_factory=dict)  # what spoke badly of it, by class or WHOLE
@@ -410,7 +411,7 @@
         self._keep(attempt)
         task.sent += 1
         machine.last_bind = self._now
-        machine.offers.append(self._now)
+        machine.turns -= 1
         machine.note_change(self._now, task.cores, task.memory)
         self._out.append(api.Bind(task.id, machine.id, self._time_out(task)))
 
@@ -636,23 +637,27 @@
     # ---- Cold budget ----------------------------------------------------------------------------------
 
     def _fits_cold(self, machine: _Machine) -> bool:
-        """This placer's share of the offers that a cold machine always bears, in every sliding window.
+        """Offers to a cold machine go by turns that the common clock gives out over all placers.
 
-        The shares of all placers add up to the told number. Refused offers count. The window is longer by
-        a connect time-out, as a connection may hold offers up; a placer that has just started may have
-        spent its share in its former life.
+        The told number of offers is given out over four slots of a third of the told window, so that no
+        window sees more. Refused offers count. The window is longer by a connect time-out, as a connection
+        may hold offers up and clocks differ a little; in its first slot a placer may have spent its turns
+        in a former life.
         """
         rules, settings = self._rules, self._settings
         started = machine.view.started_at
         if started <= 0 or self._now >= started + rules.cold_ms:
             return True
-        window = rules.cold_window_ms + settings.connect_timeout_ms
-        if self._born_at is not None and self._now < self._born_at + window:
-            return False
-        while machine.offers and machine.offers[0] <= self._now - window:
-            machine.offers.popleft()
-        share, rest = divmod(int(rules.cold_offers), settings.siblings)
-        return len(machine.offers) < share + (settings.me < rest)
+        slot_ms = (rules.cold_window_ms + settings.connect_timeout_ms) / 3
+        slot = int(self._now // slot_ms)
+        if machine.slot != slot:
+            first, last = (n * int(rules.cold_offers) // 4 for n in (slot, slot + 1))
+            turns, rest = divmod(last - first, settings.siblings)
+            mine = (settings.me + machine.id - first) % settings.siblings < rest
+            machine.slot, machine.turns = slot, turns + mine
+            if self._born_at is not None and slot == int(self._born_at // slot_ms):
+                machine.turns = 0
+        return machine.turns > 0
 
     # ---- Discovery ------------------------------------------------------------------------------------
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from helpers import Driver, machine, of, only, settings, task_class
 
@@ -145,19 +147,29 @@
     assert {driver.bind(n) for n in range(6)} == {2}
 
 
-def test_placers_at_their_full_share_together_keep_the_cold_budget() -> None:
-    offers = 0
-    base = settings()
-    for me in range(base.siblings):
-        driver = Driver(settings(me=me))
+@pytest.mark.parametrize(("placers", "budget"), [(1, 7), (3, 7), (220, 60), (220, 3), (2, 1)])
+def test_all_placers_together_keep_the_cold_budget_in_every_window_and_use_it(
+    placers: int, budget: int
+) -> None:
+    base = settings(siblings=placers)
+    rules = replace(base.rules, cold_offers=float(budget))
+    drivers = [Driver(replace(base, me=me, rules=rules)) for me in range(placers)]
+    for driver in drivers:
         driver.listing(machine(1))
-        driver.now += 60_000.0
+        driver.now = 60_000.0
         driver.listing(machine(1, started_at=driver.now - 10.0), kind=ListKind.CHANGES)
-        for n in range(30):
-            for bound in of(driver.arrive(n, after=10.0), Bind):
-                offers += 1
-                driver.close(n, 0, bound.machine, End.REFUSED, Reason.QUEUE_FULL)
-    assert 0 < offers <= base.rules.cold_offers
+    sent: list[float] = []
+    for step in range(60):
+        at = 60_000.0 + step * 150.0
+        for me, driver in enumerate(drivers):
+            driver.now = at
+            actions = driver.arrive(step * 1000 + me, cores=0.001, memory=0.001)
+            for bound in of(actions, Bind):
+                sent.append(at)
+                driver.close(bound.task, 0, 1, End.REFUSED, Reason.NOT_HERE, over=True)
+    assert sent
+    for at in sent:
+        assert sum(at - rules.cold_window_ms < other <= at for other in sent) <= budget
 
 
 def test_a_placer_that_just_started_sends_a_cold_machine_nothing() -> None:
