--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -180,6 +180,7 @@
         self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
         self._unseen = 0.0
+        self._pause, self._hold_until = 0.0, -math.inf
         self._wake_set = False
         self._list_fails = 0
         self._list_asked = False
@@ -402,7 +403,7 @@
         if self._now >= task.deadline or task.sent >= self._settings.max_attempts or hopeless:
             self._answer(task)
             return
-        machine = self._pick(task)
+        machine = self._pick(task) if self._now >= self._hold_until or task.maybe_ran else None
         if machine is None:
             self._waiting[task.id] = None
             self._set_wake()
@@ -495,6 +496,18 @@
             if self._now < until:
                 least = min(least, smaller)
             machine.shut[reason] = self._now + VIEW_LAG_MS, least
+            self._hold()
+
+    def _hold(self) -> None:
+        """Placers that chase the same little room make each other's offers fail: hold offers back.
+
+        The pause doubles with each refusal and halves with each offer taken, so it acts only where most are
+        refused; chance in it parts the placers.
+        """
+        most = min(cls.aim_ms for cls in self._settings.classes)
+        if self._pause >= most / 32:  # not the first for a while
+            self._hold_until = self._now + self._pause * (0.5 + self._random.random())
+        self._pause = min(most, max(2 * self._pause, most / 32))
 
     def _placed(self, event: api.TaskPlaced) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
@@ -502,6 +515,7 @@
             return
         attempt.placed = True
         self._learn_unseen(False)
+        self._pause /= 2
         if attempt.machine is not None:
             attempt.machine.awaited -= 1
         attempt.task.answered = True
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -18,8 +18,10 @@
     MachineState,
     Move,
     Reason,
+    SetTimer,
     Settings,
     TaskNote,
+    TimerFired,
     Topic,
 )
 
@@ -220,3 +222,41 @@
     driver.find(100, 2, service=9)
     driver.send(AttemptClosed(77, 0, 2, End.ENDED, Reason.UNTOLD, True, 5.0, Load(free, 40.0)))
     assert (driver.bind(1, service=9) == 2) == home_kept
+
+
+def test_refusals_in_a_row_hold_offers_back_and_offers_taken_end_it() -> None:
+    driver = Driver()
+    driver.listing(*(machine(n) for n in range(40)))
+    gaps = []
+    for task in range(6):
+        bound = driver.bind(task, after=5000.0)
+        actions = driver.close(task, 0, bound, End.REFUSED, Reason.QUEUE_FULL)
+        assert task == 0 or of(actions, Bind) == []
+        start = driver.now
+        while not of(actions, Bind):
+            timer = max(of(actions, SetTimer), key=lambda a: -a.at)
+            actions = driver.send(TimerFired(timer.token), after=timer.at - driver.now)
+        gaps.append(driver.now - start)
+        again = of(actions, Bind)[0]
+        driver.close(task, 1, again.machine, End.REFUSED, Reason.NOT_HERE, over=True)
+    assert gaps[0] < gaps[-1] < 2 * 900.0
+    for task in range(100, 112):
+        driver.place(task, 0, driver.bind(task, after=1500.0))
+    bound = driver.bind(200)
+    driver.close(200, 0, bound, End.REFUSED, Reason.QUEUE_FULL)
+    assert driver.bind(201, after=90.0) != bound
+
+
+def test_a_machine_that_turns_one_class_away_serves_the_others_until_two_agree() -> None:
+    classes = [task_class(name=name) for name in ("a", "b", "c")]
+    driver = Driver(settings(*classes))
+    driver.listing(machine(0, free_cores=29.0, free_memory=49.0), machine(1))
+    for cls in range(3):
+        driver.find(50 + cls, 0, cls=cls, service=9 + cls)
+    for cls in (0, 1):
+        assert driver.bind(cls, cls=cls, service=9 + cls) == 0
+        driver.close(cls, 0, 0, End.REFUSED, Reason.UNTOLD)
+        assert driver.bind(20 + cls, cls=cls, service=9 + cls) == 1
+        other = driver.bind(30 + cls, cls=2, service=11, after=10.0)
+        assert other == (0 if cls == 0 else 1)
+        driver.place(30 + cls, 0, other)
