--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -22,9 +22,7 @@
 LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
 MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
 SERVED_WELL = 0.75  # of full service: a little crowding costs less than a start away from the service's homes
-STUCK_TRIES = (
-    4  # waiting tasks of one shape tried in vain in a pass: the rest would meet the same lack of room
-)
+STUCK_TRIES = 4  # waiting tasks of a shape tried in vain in a pass: the rest would meet the same
 SERVICES_KEPT = 10_000  # services whose use is remembered: bounds memory in a placer that runs for months
 MOVE_BELOW = 0.3  # share of service under which a move pays: it costs a start, and the rest is served well
 REFUSED_SHARE = 0.3  # of offers refused for room: a refusal costs little, but so does a moment's wait
@@ -36,9 +34,6 @@
 WAKE, LIST_CALL, DEADLINE = 0, 1, 2  # what a timer token is for, in its two lowest bits
 
 
-# ---- Machine view ---------------------------------------------------------------------------------------
-
-
 @dataclass(slots=True, eq=False)
 class _Health:
     """Bad outcomes, less what good ones took off; set aside while at STRIKES, then tried by one task."""
@@ -52,6 +47,7 @@
 class _Machine:
     """A machine as the list, its answers and this placer's own binds show it."""
 
+    id: api.MachineId
     view: api.Machine
     cores: float
     memory: float
@@ -64,7 +60,7 @@
     base_cores: float = 0.0
     base_memory: float = 0.0
     ready: bool = False
-    awaited: int = 0
+    awaited: int = 0  # own attempts there without acknowledgement
     told_cores: float | None = None  # in use by the machine's report, and own changes that it may lack
     told_memory: float | None = None
     own_cores: float = 0.0
@@ -76,15 +72,6 @@
     moved_at: float = -math.inf
     health: dict[str, _Health] = field(default_factory=dict)  # what spoke badly of it, by class or WHOLE
 
-    @property
-    def id(self) -> api.MachineId:
-        return self.view.id
-
-    @property
-    def idle(self) -> bool:
-        """No own attempt there awaits its acknowledgement."""
-        return self.awaited == 0
-
     def show(self, view: api.Machine) -> None:
         """Take the list's entry; sums are kept up to date on change, since each pick reads them all."""
         self.view = view
@@ -119,11 +106,6 @@
                 memory = max(memory, self.told_memory + self.own_memory * ratios[1])
         return cores, memory
 
-    def forget_recent(self) -> None:
-        self.recent.clear()
-        self.recent_cores = self.recent_memory = 0.0
-        self.load_at = -math.inf
-
 
 @dataclass(slots=True, eq=False)
 class _Attempt:
@@ -156,11 +138,10 @@
     """Decides for one placer: `handle` takes events in order and returns what to do at that instant."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self._settings = settings
-        self._rules = settings.rules
+        self._settings, self._rules = settings, settings.rules
         self._random = random.Random(seed)
-        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. The
-        # excess of placers that share nothing adds up as chance does, by the root of their number.
+        # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. Excesses
+        # of placers that share nothing add up as chance does, by the root of their number.
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
         self._tightness = max(1.0, smallest / math.sqrt(settings.siblings))
         self._lowest_priority = min(cls.priority for cls in settings.classes)
@@ -181,9 +162,8 @@
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
         self._unseen = 0.0
         self._pause, self._hold_until = 0.0, -math.inf
-        self._wake_set = False
+        self._wake_set = self._list_asked = False
         self._list_fails = 0
-        self._list_asked = False
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at time `now` and return the actions, in the order in which they are to be done."""
@@ -208,7 +188,8 @@
             case api.TaskFound():
                 self._found(event)
             case api.TaskWithdrawn():
-                self._withdrawn(event.task)
+                if event.task in self._tasks:
+                    self._end(self._tasks[event.task])
             case api.ProbeAnswered():
                 self._take_load(event.machine, event.load)
         out, self._out = self._out, []
@@ -235,16 +216,13 @@
 
     def _count(self, machine: _Machine, rank: int, size: float) -> None:
         """An offer raises the counter by the time that the size takes there; a refusal does not lower it."""
-        mean = self._ready_cores / len(self._ready)
-        machine.counters[rank] = machine.counters.get(rank, 0.0) + size * mean / machine.cores
+        raised = size * self._ready_cores / len(self._ready) / machine.cores
+        machine.counters[rank] = machine.counters.get(rank, 0.0) + raised
 
     # ---- Filters --------------------------------------------------------------------------------------
 
     def _taken(self, task: _Task) -> tuple[Counter[int], int]:
-        """Own attempts and tasks of the service in each place of its spread, and those that may be anywhere.
-
-        One on a machine that no list has named yet may lie anywhere, so it counts everywhere.
-        """
+        """Own tasks of the service by place, and those on machines not listed yet, which count everywhere."""
         there: Counter[int] = Counter()
         anywhere = 0
         if task.cls.apart is not api.Place.NONE:
@@ -281,10 +259,9 @@
         )
 
     def _learn_unseen(self, refused: bool) -> None:
-        """Share of a machine's room that others take within the view's lag: as much as keeps refusals rare.
+        """The share of room that others take within the view's lag, whatever the cause, shows in refusals.
 
-        One more mean task after a refusal for room, and less after offers taken, so that the share settles
-        where REFUSED_SHARE of the offers are refused. It follows any cause: many placers, a late list.
+        It settles where REFUSED_SHARE of the offers are refused.
         """
         settings = self._settings
         step = settings.mean_cores / (min(settings.kind_cores) * settings.accepts_cores)
@@ -296,61 +273,51 @@
         ratios = self._service_ratios.get(task.service, self._ratios)
         return task.cores * ratios[0], task.memory * ratios[1]
 
-    def _busy_limit(self, cls: api.TaskClass) -> float:
-        """Share of cores in use up to which a machine still serves the class well."""
-        return cls.calm + (1 - SERVED_WELL) * cls.fade
-
     def _fits_use(self, task: _Task, machine: _Machine) -> bool:
         """Room by use: the class is served well there with this task, and memory will not run out."""
         cores, memory = machine.used(self._now, self._ratios)
         more_cores, more_memory = self._expected(task)
+        busy = task.cls.calm + (1 - SERVED_WELL) * task.cls.fade
         return (
-            cores + more_cores <= self._busy_limit(task.cls) * machine.cores
+            cores + more_cores <= busy * machine.cores
             and memory + more_memory <= MEMORY_SAFE * machine.memory
         )
 
     # ---- Pick -----------------------------------------------------------------------------------------
 
-    def _candidates(self, task: _Task) -> tuple[list[_Machine], list[_Machine]]:
-        """Machines that pass the filters, and those left out for now by room or health.
+    def _candidates(self, task: _Task) -> list[_Machine]:
+        """Machines that pass the filters; ones that just refused the task or are set aside come last.
 
-        Machines that just refused the task, are crowded by use or set aside come last.
+        A task of the lowest priority waits where it would crowd others: it takes more than it gains.
         """
         there, anywhere = self._taken(task)
         most = task.cls.together_max - anywhere
         spread, kind = task.cls.apart is not api.Place.NONE, task.cls.needs_kind
-        allowed, roomy, left_out = [], [], []
-        for machine in self._ready:
-            room, healthy = self._fits_room(task, machine), self._fits_health(task.cls, machine)
-            if not (room and healthy):
-                left_out.append(machine)
-            if (kind is not None and machine.view.kind != kind) or not self._fits_cold(machine):
-                continue
-            if task.maybe_ran and not self._fits_effect(task, machine):
-                continue
-            if spread and there[_place(machine, task.cls.apart)] >= most:
-                continue
-            allowed.append(machine)
-            if room:
-                roomy.append(machine)
+        allowed = [
+            m
+            for m in self._ready
+            if (kind is None or m.view.kind == kind)
+            and not (spread and there[_place(m, task.cls.apart)] >= most)
+            and self._fits_effect(task, m)
+            and self._fits_cold(m)
+        ]
+        roomy = [m for m in allowed if self._fits_room(task, m)]
         if roomy or not (self._settings.pushes_out and task.cls.priority > self._lowest_priority):
             allowed = roomy
-        healthy_ones = [m for m in allowed if self._fits_health(task.cls, m)]
-        fresh = [m for m in healthy_ones if m.id not in task.tried]
+        healthy = [m for m in allowed if self._fits_health(task.cls, m)]
+        fresh = [m for m in healthy if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
-        if not calm and task.cls.priority == self._lowest_priority and not task.maybe_ran:
-            return [], left_out
-        return calm or fresh or healthy_ones or [m for m in allowed if m.idle], left_out
+        if calm or (task.cls.priority == self._lowest_priority and not task.maybe_ran):
+            return calm
+        return fresh or healthy or [m for m in allowed if m.awaited == 0]
 
     def _pick(self, task: _Task) -> _Machine | None:
-        passing, left_out = self._candidates(task)
+        passing = self._candidates(task)
         if not passing:
             return None
         size = task.cores / self._settings.mean_cores
         rank, top = self._rank(size)
         lowest = min(m.counters.get(rank, 0.0) for m in passing)
-        for machine in left_out:  # one left out for now returns at the pace of the others
-            machine.counters[rank] = max(lowest, machine.counters.get(rank, 0.0))
         safe = [m for m in passing if m.counters.get(rank, 0.0) + size <= lowest + self._tightness * top]
         safe = safe or [m for m in passing if m.counters.get(rank, 0.0) == lowest]
         near = [m for m in safe if self._fits_use(task, m)] or self._least_loaded(task, safe)
@@ -427,9 +394,7 @@
 
     def _answer(self, task: _Task) -> None:
         """The one final answer: a refusal where it is known that asking again does no harm."""
-        task.answered = True
-        self._waiting.pop(task.id, None)
-        self._tasks.pop(task.id, None)
+        self._end(task)
         out = [a for n in range(task.sent) if (a := self._attempts.get((task.id, n))) and not a.placed]
         if self._settings.may_cancel:
             self._out.extend(api.CancelAttempt(task.id, attempt.number) for attempt in out)
@@ -443,11 +408,10 @@
     def _keep(self, attempt: _Attempt) -> None:
         key = attempt.task.id, attempt.number
         self._attempts[key] = attempt
-        if attempt.machine is not None:
-            attempt.machine.awaited += not attempt.placed
         self._services.setdefault(attempt.task.service, {})[key] = attempt
         if attempt.machine is not None:
             attempt.machine.open[key] = attempt
+            attempt.machine.awaited += not attempt.placed
 
     def _closed(self, event: api.AttemptClosed) -> None:
         self._take_load(event.machine, event.load)
@@ -473,36 +437,32 @@
         elif event.end not in api.NEVER_RAN:
             task.maybe_ran.append(attempt)
         if event.task_over:
-            task.answered = True
-            self._tasks.pop(task.id, None)
-            self._waiting.pop(task.id, None)
+            self._end(task)
         else:
             self._try(task)
 
     def _take_refusal(self, task: _Task, machine: _Machine, reason: api.Reason) -> None:
-        """The view overstates this machine's room: nothing as large goes there until it could catch up.
+        """The view overstates the room: nothing as large goes there until it could catch up.
 
-        Where too many offers wait there, any size would meet the same; where no reason is told although the
-        view shows room, it turns the class away, and its health for the class holds that.
+        Too many offers waiting shut it for all sizes; a refusal without a reason tells of the class.
         """
         if reason is api.Reason.UNTOLD:
             self._strike(machine, task.cls.name, STRIKES, "turned away")
         elif reason is not api.Reason.NOT_HERE:
-            sizes = {api.Reason.NO_CORES: task.cores, api.Reason.NO_MEMORY: task.memory}
-            least = sizes.get(reason, 0.0)
-            if reason in sizes:
+            least = {api.Reason.NO_CORES: task.cores, api.Reason.NO_MEMORY: task.memory}.get(reason, 0.0)
+            if least:
                 self._learn_unseen(True)
             until, smaller = machine.shut.get(reason, (-math.inf, math.inf))
-            if self._now < until:
-                least = min(least, smaller)
-            machine.shut[reason] = self._now + VIEW_LAG_MS, least
+            machine.shut[reason] = (
+                self._now + VIEW_LAG_MS,
+                min(least, smaller if self._now < until else least),
+            )
             self._hold()
 
     def _hold(self) -> None:
-        """Placers that chase the same little room make each other's offers fail: hold offers back.
+        """Where most offers are refused placers chase the same little room: hold offers back.
 
-        The pause doubles with each refusal and halves with each offer taken, so it acts only where most are
-        refused; chance in it parts the placers.
+        The pause doubles with a refusal and halves with an offer taken; chance in it parts the placers.
         """
         most = min(cls.aim_ms for cls in self._settings.classes)
         if self._pause >= most / 32:  # not the first for a while
@@ -525,11 +485,10 @@
         if self._settings.ack_when_running and attempt.machine is not None:
             self._well(attempt.machine, attempt.task.cls)
 
-    def _withdrawn(self, ident: api.TaskId) -> None:
-        task = self._tasks.pop(ident, None)
-        if task is not None:
-            task.answered = True
-            self._waiting.pop(ident, None)
+    def _end(self, task: _Task) -> None:
+        task.answered = True
+        self._tasks.pop(task.id, None)
+        self._waiting.pop(task.id, None)
 
     def _set_wake(self) -> None:
         if not self._wake_set:
@@ -560,17 +519,15 @@
     # ---- Health ---------------------------------------------------------------------------------------
 
     def _fits_health(self, cls: api.TaskClass, machine: _Machine) -> bool:
-        """In use for the class, or back on trial: once its time is over it gets one attempt at a time.
-
-        A machine may fail or turn away one class and serve the others; where two classes agree, it is the
-        machine.
-        """
+        """In use for the class, or on trial by one attempt at a time; where two agree, it is the machine."""
         if not machine.health:
             return True
         bad = {key for key, health in machine.health.items() if health.strikes >= STRIKES}
         if len(bad - {cls.name}) < 2:
             bad &= {WHOLE, cls.name}
-        return all(self._now >= machine.health[key].aside_until for key in bad) and (not bad or machine.idle)
+        return all(self._now >= machine.health[key].aside_until for key in bad) and (
+            not bad or machine.awaited == 0
+        )
 
     def _well(self, machine: _Machine, cls: api.TaskClass) -> None:
         for key in (WHOLE, cls.name):
@@ -624,8 +581,9 @@
         task, machine = attempt.task, attempt.machine
         if machine is None or not attempt.placed or share >= MOVE_BELOW:
             return
-        others = [m for m in self._candidates(task)[0] if m is not machine]
-        if self._now >= machine.moved_at + VIEW_LAG_MS and any(self._fits_use(task, m) for m in others):
+        if self._now < machine.moved_at + VIEW_LAG_MS:
+            return
+        if any(m is not machine and self._fits_use(task, m) for m in self._candidates(task)):
             machine.moved_at = self._now
             self._out.append(api.Move(task.id))
 
@@ -648,15 +606,11 @@
         machine.own_cores, machine.own_memory = machine.recent_cores, machine.recent_memory
         machine.load_at = self._now
 
-    # ---- Cold budget ----------------------------------------------------------------------------------
-
     def _fits_cold(self, machine: _Machine) -> bool:
-        """Offers to a cold machine go by turns that the common clock gives out over all placers.
+        """Offers to a cold machine, refused ones too, go by turns that the common clock gives out to placers.
 
-        The told number of offers is given out over four slots of a third of the told window, so that no
-        window sees more. Refused offers count. The window is longer by a connect time-out, as a connection
-        may hold offers up and clocks differ a little; in its first slot a placer may have spent its turns
-        in a former life.
+        The told number is given out over four slots of a third of a window, so no window sees more. It is
+        longer by a connect time-out, which may hold offers up. A former life may have spent the first slot.
         """
         rules, settings = self._rules, self._settings
         started = machine.view.started_at
@@ -711,14 +665,13 @@
         self._out.append(api.SetTimer(self._now + pause, LIST_CALL))
 
     def _list_entry(self, entry: api.Machine) -> None:
-        if not 0 <= entry.kind < len(self._settings.kind_cores):
-            return
-        if not (math.isfinite(entry.free_cores) and math.isfinite(entry.free_memory)):
+        known = 0 <= entry.kind < len(self._settings.kind_cores)
+        if not (known and math.isfinite(entry.free_cores) and math.isfinite(entry.free_memory)):
             return
         machine = self._machines.get(entry.id)
         if machine is None:
             cores, memory = self._settings.kind_cores[entry.kind], self._settings.kind_memory[entry.kind]
-            machine = self._machines[entry.id] = _Machine(entry, cores, memory)
+            machine = self._machines[entry.id] = _Machine(entry.id, entry, cores, memory)
             machine.show(entry)
             self._count_ready()
             self._adopt(machine)
@@ -729,7 +682,9 @@
                 self._lower_counters(machine)
             if restarted:
                 machine.health.clear()
-                machine.forget_recent()
+                machine.recent.clear()
+                machine.recent_cores = machine.recent_memory = 0.0
+                machine.load_at = -math.inf
             was_ready = machine.ready
             machine.show(entry)
             if machine.ready != was_ready:
@@ -738,20 +693,16 @@
         if empty and self._settings.list_tells_free:
             self._lower_counters(machine)
 
-    # ---- Placed tasks ---------------------------------------------------------------------------------
-
     def _found(self, event: api.TaskFound) -> None:
         """A task that runs already counts for spread, load and resets from now on."""
         key = event.task, 0
-        if event.task in self._tasks or key in self._attempts:
-            return
-        if not 0 <= event.cls < len(self._settings.classes):
+        known = event.task in self._tasks or key in self._attempts
+        if known or not 0 <= event.cls < len(self._settings.classes):
             return
         cls = self._settings.classes[event.cls]
         task = self._task(event, cls)
         task.answered, task.sent = True, 1
-        attempt = _Attempt(task, 0, self._machines.get(event.machine), self._now)
-        attempt.placed = True
+        attempt = _Attempt(task, 0, self._machines.get(event.machine), self._now, placed=True)
         self._tasks[task.id] = task
         self._keep(attempt)
         if attempt.machine is None:
