--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -141,9 +141,9 @@
         self._settings, self._rules = settings, settings.rules
         self._random = random.Random(seed)
         # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. Excesses
-        # of placers that share nothing add up as chance does, by the root of their number.
+        # add up between chance (by the root of the placers' number) and all alike, as homes are the same.
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
-        self._tightness = max(1.0, smallest / math.sqrt(settings.siblings))
+        self._tightness = max(1.0, smallest / settings.siblings**0.75)
         self._lowest_priority = min(cls.priority for cls in settings.classes)
         self._now = 0.0
         self._born_at: float | None = None
