--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -19,6 +19,7 @@
 LOAD_CAP = 0.95  # above this the rank width hardly changes, while the estimate is late
 VIEW_LAG_MS = 1500.0  # how long an own bind may be missing from the view: report, list and network delays
 LOAD_OLD_MS = 4000.0  # a report older than this says less than what is asked does: tasks live for seconds
+LEAST_TIGHTNESS = 4.0  # tasks that chance alone may put on one machine for a placer that binds one on each
 LEARN = 0.05  # weight of one note in the means of use: some dozens of notes, not the last few, decide
 MEMORY_SAFE = 0.9  # of a machine's memory in expected use: past the whole it evicts, and use still grows
 SERVED_WELL = 0.75  # of full service: a little crowding costs less than a start away from the service's homes
@@ -143,7 +144,7 @@
         # The guardrails' g: this placer's part of the mean tasks that the smallest machine accepts. Excesses
         # add up between chance (by the root of the placers' number) and all alike, as homes are the same.
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
-        self._tightness = max(1.0, smallest / settings.siblings**0.75)
+        self._tightness = max(LEAST_TIGHTNESS, smallest / settings.siblings**0.75)
         self._lowest_priority = min(cls.priority for cls in settings.classes)
         self._now = 0.0
         self._born_at: float | None = None
@@ -160,8 +161,7 @@
         self._notes = [0, 0]
         self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
-        self._unseen = 0.0
-        self._pause, self._hold_until = 0.0, -math.inf
+        self._unseen, self._pause, self._hold_until = 0.0, 0.0, -math.inf
         self._wake_set = self._list_asked = False
         self._list_fails = 0
 
