Resource store with revisions, lists in parts and watches; models of the REST API

A client needs a REST API with watches before it can send a job. This lays what it stands on, without I/O: jobs and machines as pydantic models, errors as Status objects that name each field, selectors, merge patch, and a store whose lists show one revision over all their parts, whose watches resume from a revision or are told that it is gone, and whose history, buffers and open lists are bounded. A common clock that never goes back, for cold machines' turns.

--- /dev/null
+++ b/kelpfront/api/decode.py
@@ -0,0 +1,110 @@
+"""Request bodies to models, with every mistake named at once."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Literal, TypeVar
+
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from kelpfront.api.errors import ApiError, Cause, invalid
+from kelpfront.api.meta import Resource
+
+M = TypeVar("M", bound=BaseModel)
+
+FieldValidation = Literal["Strict", "Warn", "Ignore"]
+MAX_CAUSES = 50  # of one answer: a body can be wrong in as many places as it has fields
+MAX_DEPTH = 32  # of nested objects and lists; resources need six
+
+_REASONS = {
+    "missing": "FieldValueRequired",
+    "extra_forbidden": "FieldValueForbidden",
+    "literal_error": "FieldValueNotSupported",
+    "enum": "FieldValueNotSupported",
+    "too_long": "FieldValueTooLong",
+    "string_too_long": "FieldValueTooLong",
+}
+
+
+def parse_json(body: bytes) -> Any:
+    """JSON data of a body; ApiError 400 says where it stops being JSON."""
+    if not body:
+        raise ApiError(400, "the request has no body; a JSON object is expected")
+    try:
+        data = json.loads(body)
+    except (UnicodeDecodeError, json.JSONDecodeError) as error:
+        raise ApiError(400, f"the body is not JSON: {error}") from None
+    except RecursionError:
+        raise ApiError(400, "the body is nested too deeply") from None
+    if not isinstance(data, dict):
+        raise ApiError(400, f"the body is a JSON {type(data).__name__}; an object is expected")
+    if _depth(data) > MAX_DEPTH:
+        raise ApiError(400, f"the body is nested deeper than {MAX_DEPTH} levels")
+    return data
+
+
+def decode(
+    adapter: TypeAdapter[M], resource: Resource, data: Any, validation: FieldValidation = "Strict"
+) -> tuple[M, tuple[str, ...]]:
+    """The model, and warnings about fields that were passed over; ApiError 422 names what is wrong.
+
+    `Strict` refuses unknown fields. `Warn` and `Ignore` drop them, the first with a warning for each.
+    """
+    warnings: list[str] = []
+    while True:
+        try:
+            return adapter.validate_python(data), tuple(warnings)
+        except ValidationError as error:
+            problems = error.errors(include_url=False, include_context=False)
+            unknown = [p["loc"] for p in problems if p["type"] == "extra_forbidden"]
+            if validation == "Strict" or len(unknown) < len(problems):
+                name = _name_of(data)
+                raise invalid(resource, name, tuple(_cause(p) for p in problems[:MAX_CAUSES])) from None
+            for loc in unknown:
+                data = _without(data, loc)
+                if validation == "Warn":
+                    warnings.append(f'unknown field "{_path(loc)}"')
+
+
+def _cause(problem: Any) -> Cause:
+    kind: str = problem["type"]
+    message: str = problem["msg"].removeprefix("Value error, ")
+    if kind == "extra_forbidden":
+        message = "unknown field"
+    elif kind == "missing":
+        message = "is required"
+    return Cause(_path(problem["loc"]), message, _REASONS.get(kind, "FieldValueInvalid"))
+
+
+def _path(loc: tuple[str | int, ...]) -> str:
+    text = ""
+    for part in loc:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}" if text else part
+    return text.removesuffix(".[key]")
+
+
+def _without(data: Any, loc: tuple[str | int, ...]) -> Any:
+    head, *rest = loc
+    if isinstance(data, dict):
+        if not rest:
+            return {name: value for name, value in data.items() if name != head}
+        return {name: _without(value, tuple(rest)) if name == head else value for name, value in data.items()}
+    return [_without(value, tuple(rest)) if index == head else value for index, value in enumerate(data)]
+
+
+def _name_of(data: Any) -> str:
+    metadata = data.get("metadata") if isinstance(data, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+def _depth(data: Any) -> int:
+    deepest, stack = 0, [(data, 1)]
+    while stack:
+        value, depth = stack.pop()
+        deepest = max(deepest, depth)
+        if isinstance(value, dict):
+            stack.extend((inner, depth + 1) for inner in value.values())
+        elif isinstance(value, list):
+            stack.extend((inner, depth + 1) for inner in value)
+    return deepest
--- /dev/null
+++ b/kelpfront/api/jobs.py
@@ -0,0 +1,162 @@
+"""Jobs: tasks of one shape that their owner wants placed.
+
+Each of a job's `count` tasks gets exactly one answer, Placed, Refused or Failed, within the patience. The
+answer never changes; the state goes on after it (Placed, Running, then Ended or Lost).
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, Field, TypeAdapter, WithJsonSchema
+
+from kelpfront.api.meta import API_VERSION, ApiModel, ObjectMeta
+from kelpfront.units import DURATION_FORM, format_duration, parse_duration
+
+MAX_COUNT = 1000  # tasks of one job: bounds the size of its object and of each event that shows it
+
+
+def _canonical_duration(text: str) -> str:
+    ms = parse_duration(text)
+    if not 10.0 <= ms <= 3_600_000.0:
+        raise ValueError(f"{text!r} is not from 10ms to 1h")
+    return format_duration(ms)
+
+
+Duration = Annotated[
+    str,
+    AfterValidator(_canonical_duration),
+    WithJsonSchema({"type": "string", "description": DURATION_FORM, "examples": ["5s", "800ms"]}),
+]
+
+
+class TaskState(StrEnum):
+    """Where a task is. Refused, Failed, Ended and Lost are ends, but see `found` of a failed task."""
+
+    PENDING = "Pending"
+    PLACING = "Placing"
+    PLACED = "Placed"
+    RUNNING = "Running"
+    REFUSED = "Refused"
+    FAILED = "Failed"
+    ENDED = "Ended"
+    LOST = "Lost"
+
+
+class Answer(StrEnum):
+    """The one answer that each task gets."""
+
+    PLACED = "Placed"
+    REFUSED = "Refused"
+    FAILED = "Failed"
+
+
+class Phase(StrEnum):
+    """Of a job: some tasks have no answer yet, all have one and some go on, or all are at an end."""
+
+    PLACING = "Placing"
+    ACTIVE = "Active"
+    FINISHED = "Finished"
+
+
+class JobSpec(ApiModel):
+    class_: str = Field(alias="class", min_length=1, max_length=63, description="A class of the settings.")
+    service: str = Field(
+        min_length=1, max_length=253, description="The service that the tasks belong to, in this namespace."
+    )
+    cores: float = Field(
+        gt=0, le=100_000, strict=True, allow_inf_nan=False, description="Cores that each task asks for."
+    )
+    memory: float = Field(
+        gt=0,
+        le=1e9,
+        strict=True,
+        allow_inf_nan=False,
+        description="Memory that each task asks for, in the settings' unit.",
+    )
+    count: int = Field(1, ge=1, le=MAX_COUNT, strict=True, description="How many tasks; may be changed.")
+    patience: Duration | None = Field(
+        None, description="How long the owner waits for each answer; the class's deadline if absent."
+    )
+    key: str | None = Field(
+        None,
+        min_length=1,
+        max_length=253,
+        description="Names the work of a keyed class; task N of the job is known by KEY/N.",
+    )
+    client_token: str | None = Field(
+        None,
+        min_length=1,
+        max_length=128,
+        description="Chosen by the client: a POST with a known token answers with the job that has it.",
+    )
+
+
+class Attempt(ApiModel):
+    attempt: int = Field(ge=0, description="0, 1, 2 ... in the order of sending.")
+    machine: str
+    sent_at: str
+    ended_at: str | None = None
+    end: str | None = Field(None, description="How it ended; absent while it is out.")
+    reason: str | None = Field(None, description="The reason as the machine gave it.")
+    message: str | None = None
+
+
+class Task(ApiModel):
+    index: int = Field(ge=0)
+    uid: str
+    state: TaskState
+    answer: Answer | None = Field(None, description="Set once, never changed.")
+    machine: str | None = Field(None, description="Where it is or was placed.")
+    reason: str | None = Field(None, description="Why it was refused, failed or lost.")
+    retry_after: str | None = Field(None, description="Of a refusal: how long to stay away.")
+    exit_code: int | None = None
+    attempts: tuple[Attempt, ...] = ()
+    created_at: str
+    answered_at: str | None = None
+    running_at: str | None = None
+    ended_at: str | None = None
+
+
+class TaskCounts(ApiModel):
+    pending: int = 0
+    placing: int = 0
+    placed: int = 0
+    running: int = 0
+    refused: int = 0
+    failed: int = 0
+    ended: int = 0
+    lost: int = 0
+
+
+class JobStatus(ApiModel):
+    phase: Phase
+    observed_generation: int
+    answered: int = Field(description="How many tasks have their answer.")
+    counts: TaskCounts
+    tasks: list[Task]
+
+
+class Job(ApiModel):
+    api_version: Literal["kelpfront.dev/v1"] = API_VERSION
+    kind: Literal["Job"] = "Job"
+    metadata: ObjectMeta
+    spec: JobSpec
+    status: JobStatus | None = None
+
+
+class JobInput(ApiModel):
+    """A job as clients write it; a status that comes along is passed over, as by the conventions."""
+
+    api_version: Literal["kelpfront.dev/v1"] = API_VERSION
+    kind: Literal["Job"] = "Job"
+    metadata: ObjectMeta = ObjectMeta()
+    spec: JobSpec
+    status: Any = None
+
+
+JOB_INPUT: TypeAdapter[JobInput] = TypeAdapter(JobInput)
+
+FIXED_SPEC_FIELDS = ("class", "service", "cores", "memory", "patience", "key", "clientToken")
+"""What of a job's spec cannot be changed once tasks were made of it."""
--- /dev/null
+++ b/kelpfront/api/meta.py
@@ -0,0 +1,153 @@
+"""What all resources have in common: names, metadata, and the two resources themselves."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import Annotated, Any, Final
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic.alias_generators import to_camel
+
+GROUP = "kelpfront.dev"
+VERSION = "v1"
+API_VERSION: Final = "kelpfront.dev/v1"
+
+Object = dict[str, Any]
+"""A resource as plain JSON data, the form in which the store keeps it."""
+
+_LABEL_NAME = re.compile(r"[A-Za-z0-9]([-A-Za-z0-9_.]{0,61}[A-Za-z0-9])?")
+_DNS_NAME = re.compile(r"[a-z0-9]([-a-z0-9.]{0,251}[a-z0-9])?")
+_DNS_LABEL = re.compile(r"[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?")
+
+DNS_NAME_FORM = "lower-case letters, digits, '-' and '.', at most 253, first and last a letter or digit"
+DNS_LABEL_FORM = "lower-case letters, digits and '-', at most 63, first and last a letter or digit"
+LABEL_FORM = "letters, digits, '-', '_' and '.', at most 63, first and last a letter or digit"
+
+
+def check_name(value: str) -> str:
+    """A resource's name: RFC 1123 subdomain."""
+    if not _DNS_NAME.fullmatch(value):
+        raise ValueError(f"{value!r} is not a name: {DNS_NAME_FORM}")
+    return value
+
+
+def check_namespace(value: str) -> str:
+    """A namespace: RFC 1123 label."""
+    if not _DNS_LABEL.fullmatch(value):
+        raise ValueError(f"{value!r} is not a namespace: {DNS_LABEL_FORM}")
+    return value
+
+
+def check_label_key(value: str) -> str:
+    prefix, slash, name = value.rpartition("/")
+    if slash and not _DNS_NAME.fullmatch(prefix):
+        raise ValueError(f"prefix of {value!r} is not a name: {DNS_NAME_FORM}")
+    if not _LABEL_NAME.fullmatch(name):
+        raise ValueError(f"{value!r} is not a label's key: {LABEL_FORM}")
+    return value
+
+
+def check_label_value(value: str) -> str:
+    if value and not _LABEL_NAME.fullmatch(value):
+        raise ValueError(f"{value!r} is not a label's value: {LABEL_FORM}")
+    return value
+
+
+Name = Annotated[str, AfterValidator(check_name)]
+LabelKey = Annotated[str, AfterValidator(check_label_key)]
+LabelValue = Annotated[str, AfterValidator(check_label_value)]
+
+
+class ApiModel(BaseModel):
+    """Base of the resources' models: camelCase in JSON, unknown fields are errors."""
+
+    model_config = ConfigDict(
+        alias_generator=to_camel,
+        populate_by_name=True,
+        extra="forbid",
+        frozen=True,
+        hide_input_in_errors=True,
+    )
+
+
+class ObjectMeta(ApiModel):
+    """Standard metadata. The server sets all but name, generateName, namespace, labels and annotations."""
+
+    name: Name | None = Field(None, description="Unique in its namespace; cannot change.")
+    generate_name: str | None = Field(
+        None, max_length=200, description="Prefix of a name that the server completes, if name is absent."
+    )
+    namespace: str | None = Field(None, description="Set from the path.")
+    labels: dict[LabelKey, LabelValue] | None = Field(None, max_length=64)
+    annotations: dict[LabelKey, str] | None = Field(None, max_length=64)
+    uid: str | None = Field(None, description="Set by the server; differs for each object, ever.")
+    resource_version: str | None = Field(
+        None, description="Grows with each change; if given on a write, the write fails where it is stale."
+    )
+    generation: int | None = Field(None, description="Grows with each change of the spec.")
+    creation_timestamp: str | None = None
+    deletion_timestamp: str | None = None
+    deletion_grace_period_seconds: int | None = None
+    self_link: str | None = None
+    # Accepted from clients that read an object and write it back; kelpfront keeps none of them.
+    finalizers: list[str] | None = Field(None, max_length=0)
+    owner_references: list[dict[str, Any]] | None = Field(None, max_length=0)
+    managed_fields: list[dict[str, Any]] | None = None
+
+
+class ListMeta(ApiModel):
+    resource_version: str
+    continue_: str | None = Field(None, alias="continue", description="Token that gets the rest of the list.")
+    remaining_item_count: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Resource:
+    """A kind of object that the API serves."""
+
+    plural: str
+    singular: str
+    kind: str
+    namespaced: bool
+    verbs: tuple[str, ...]
+    fields: tuple[str, ...]
+    """What fieldSelector may name, besides metadata.name and metadata.namespace."""
+
+    @property
+    def list_kind(self) -> str:
+        return f"{self.kind}List"
+
+    @property
+    def selectable(self) -> tuple[str, ...]:
+        names = ("metadata.name", "metadata.namespace") if self.namespaced else ("metadata.name",)
+        return names + self.fields
+
+
+JOBS = Resource(
+    plural="jobs",
+    singular="job",
+    kind="Job",
+    namespaced=True,
+    verbs=("create", "delete", "deletecollection", "get", "list", "patch", "update", "watch"),
+    fields=("spec.class", "spec.service", "status.phase"),
+)
+MACHINES = Resource(
+    plural="machines",
+    singular="machine",
+    kind="Machine",
+    namespaced=False,
+    verbs=("get", "list", "patch", "update", "watch"),
+    fields=("spec.kind", "spec.rack", "spec.room", "spec.unschedulable", "status.state"),
+)
+RESOURCES = {resource.plural: resource for resource in (JOBS, MACHINES)}
+
+
+def field_of(obj: Object, path: str) -> str:
+    """The value at a dotted path as fieldSelector compares it: text, with booleans in lower case."""
+    value: Any = obj
+    for part in path.split("."):
+        value = value.get(part) if isinstance(value, dict) else None
+    if value is None:
+        return ""
+    return str(value).lower() if isinstance(value, bool) else str(value)
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,194 @@
+"""Selectors, merge patch, request bodies and units."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpfront.api.decode import decode, parse_json
+from kelpfront.api.errors import ApiError
+from kelpfront.api.jobs import JOB_INPUT
+from kelpfront.api.meta import JOBS, MACHINES
+from kelpfront.api.patch import merge_patch
+from kelpfront.api.selectors import parse_selector
+from kelpfront.clock import CommonClock, parse_timestamp, timestamp
+from kelpfront.units import format_duration, format_size, parse_duration, parse_size
+
+JOB: dict[str, Any] = {
+    "metadata": {"name": "a"},
+    "spec": {"class": "web", "service": "front", "cores": 1, "memory": 2},
+}
+
+
+def labelled(**labels: str) -> dict[str, Any]:
+    return {"metadata": {"name": "a", "labels": labels}}
+
+
+@pytest.mark.parametrize(
+    ("selector", "chosen"),
+    [
+        ("", {"blue", "red", "none"}),
+        ("team=blue", {"blue"}),
+        ("team==blue", {"blue"}),
+        ("team!=blue", {"red", "none"}),
+        ("team in (blue, red)", {"blue", "red"}),
+        ("team notin (blue)", {"red", "none"}),
+        ("team", {"blue", "red"}),
+        ("!team", {"none"}),
+        ("team,team!=red", {"blue"}),
+        (" team in (blue,green) , tier = web ", {"blue"}),
+    ],
+)
+def test_label_selectors(selector: str, chosen: set[str]) -> None:
+    its = parse_selector(JOBS, selector, "")
+    objects = {
+        "blue": labelled(team="blue", tier="web"),
+        "red": labelled(team="red"),
+        "none": labelled(),
+    }
+    assert {name for name, obj in objects.items() if its.matches(obj)} == chosen
+
+
+@pytest.mark.parametrize("bad", ["a=b c", "in (x)", "a in x", "a=b,", "=b", "a=(b)", "a=b,,c", "-=b", "a=-"])
+def test_a_bad_label_selector_is_named(bad: str) -> None:
+    with pytest.raises(ApiError, match="labelSelector") as error:
+        parse_selector(JOBS, bad, "")
+    assert error.value.code == 400
+
+
+def test_field_selectors() -> None:
+    machine = {"metadata": {"name": "n1"}, "spec": {"unschedulable": True, "room": "east"}}
+    assert parse_selector(MACHINES, "", "spec.unschedulable=true,metadata.name=n1").matches(machine)
+    assert not parse_selector(MACHINES, "", "spec.room!=east").matches(machine)
+    assert parse_selector(MACHINES, "", "metadata.name=n1").name == "n1"
+    with pytest.raises(ApiError, match=r"'spec\.cores' is not supported; allowed: metadata\.name"):
+        parse_selector(MACHINES, "", "spec.cores=1")
+
+
+@pytest.mark.parametrize(
+    ("target", "patch", "result"),
+    [  # of RFC 7396, appendix A
+        ({"a": "b"}, {"a": "c"}, {"a": "c"}),
+        ({"a": "b"}, {"b": "c"}, {"a": "b", "b": "c"}),
+        ({"a": "b"}, {"a": None}, {}),
+        ({"a": ["b"]}, {"a": "c"}, {"a": "c"}),
+        ({"a": {"b": "c"}}, {"a": {"b": "d", "c": None}}, {"a": {"b": "d"}}),
+        ({"a": [{"b": "c"}]}, {"a": [1]}, {"a": [1]}),
+        ({"e": None}, {"a": 1}, {"e": None, "a": 1}),
+        ([1, 2], {"a": "b", "c": None}, {"a": "b"}),
+        ({}, {"a": {"bb": {"ccc": None}}}, {"a": {"bb": {}}}),
+        ({"a": "foo"}, None, None),
+        ({"a": "foo"}, "bar", "bar"),
+    ],
+)
+def test_merge_patch(target: Any, patch: Any, result: Any) -> None:
+    before = repr(target)
+    assert merge_patch(target, patch) == result
+    assert repr(target) == before
+
+
+@pytest.mark.parametrize(
+    ("body", "says"),
+    [
+        (b"", "no body"),
+        (b"{", "not JSON"),
+        (b"\xff{}", "not JSON"),
+        (b"[]", "an object is expected"),
+        (b'{"a":' * 40 + b"1" + b"}" * 40, "nested"),
+        (b"[" * 100_000, "nested|JSON"),
+    ],
+)
+def test_a_body_that_is_no_object_is_a_bad_request(body: bytes, says: str) -> None:
+    with pytest.raises(ApiError, match=says) as error:
+        parse_json(body)
+    assert error.value.code == 400
+
+
+def test_every_mistake_of_a_body_is_named_at_once() -> None:
+    wrong = {
+        "kind": "Pod",
+        "metadata": {"name": "UPPER", "labels": {"a b": "x"}},
+        "spec": {"service": "", "cores": -1, "memory": "2", "patience": "5", "colour": "red"},
+    }
+    with pytest.raises(ApiError) as error:
+        decode(JOB_INPUT, JOBS, wrong)
+    assert (error.value.code, error.value.reason) == (422, "Invalid")
+    causes = {cause.field: cause for cause in error.value.causes}
+    assert set(causes) == {
+        "kind",
+        "metadata.name",
+        "metadata.labels.a b",
+        "spec.class",
+        "spec.service",
+        "spec.cores",
+        "spec.memory",
+        "spec.patience",
+        "spec.colour",
+    }
+    assert causes["spec.class"].reason == "FieldValueRequired"
+    assert causes["spec.colour"].message == "unknown field"
+    assert "a number and a unit" in causes["spec.patience"].message
+
+
+def test_unknown_fields_are_passed_over_only_where_the_client_asks_for_it() -> None:
+    odd = {**JOB, "spec": {**JOB["spec"], "colour": "red"}, "extra": 1}
+    with pytest.raises(ApiError):
+        decode(JOB_INPUT, JOBS, odd)
+    model, warnings = decode(JOB_INPUT, JOBS, odd, "Warn")
+    assert (model.spec.service, set(warnings)) == (
+        "front",
+        {'unknown field "spec.colour"', 'unknown field "extra"'},
+    )
+    assert decode(JOB_INPUT, JOBS, odd, "Ignore")[1] == ()
+    assert "colour" in odd["spec"]
+    with pytest.raises(ApiError, match=r"spec\.cores"):
+        decode(JOB_INPUT, JOBS, {**odd, "spec": {**odd["spec"], "cores": 0}}, "Warn")
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.floats(min_value=1, max_value=1e9).map(lambda ms: round(ms, 3)))
+def test_durations_are_read_back(ms: float) -> None:
+    assert parse_duration(format_duration(ms)) == pytest.approx(ms, rel=1e-9)
+
+
+@pytest.mark.parametrize(("text", "ms"), [("700 ms", 700), ("1.5s", 1500), (" 2 min ", 120_000), ("0", 0)])
+def test_durations(text: str, ms: float) -> None:
+    assert parse_duration(text) == ms
+
+
+@pytest.mark.parametrize("bad", ["5", "s", "-1s", "1 fortnight", "1e3ms", "", "1s 2s"])
+def test_a_duration_without_a_unit_is_not_taken(bad: str) -> None:
+    with pytest.raises(ValueError, match="a number and a unit"):
+        parse_duration(bad)
+
+
+def test_sizes() -> None:
+    assert parse_size("64 KiB") == 65536
+    assert format_size(1 << 20) == "1 MiB"
+    assert parse_size(format_size(1000)) == 1000
+    with pytest.raises(ValueError, match="a whole number and a unit"):
+        parse_size("1.5 MiB")
+
+
+def test_the_clock_never_goes_back_and_follows_the_wall_clock_slowly() -> None:
+    wall, steady = [1000.0], [50.0]
+    clock = CommonClock(lambda: wall[0], lambda: steady[0])
+    assert clock.now() == 1_000_000.0
+    for step in (0.0, 10.0, -3600.0):
+        before = clock.now()
+        wall[0] += step + 2.0
+        steady[0] += 2.0
+        passed = clock.now() - before
+        assert passed == pytest.approx(2000.0, abs=1.0 + 1e-6), step
+    assert clock.error() < -3_500_000.0
+    assert clock.now() == clock.now()
+
+
+def test_timestamps_are_read_back() -> None:
+    assert timestamp(0.0) == "1970-01-01T00:00:00.000000Z"
+    assert parse_timestamp(timestamp(1_764_590_400_123.456)) == pytest.approx(
+        1_764_590_400_123.456, abs=0.001
+    )
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,228 @@
+"""The resource store: revisions, lists in parts, watches that resume, overflow and compaction."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpfront.api.errors import ApiError
+from kelpfront.api.meta import JOBS, MACHINES
+from kelpfront.api.selectors import parse_selector
+from kelpfront.store import ResourceStore, StoreLimits, Watch
+
+
+def body(name: str, **labels: str) -> dict[str, Any]:
+    return {"metadata": {"name": name, "namespace": "climate", "labels": labels}, "spec": {"class": "web"}}
+
+
+def put(store: ResourceStore, name: str, **labels: str) -> int:
+    key = "climate", name
+    write = store.update if store.find(JOBS, key) else store.create
+    return write(JOBS, key, body(name, **labels)).revision
+
+
+def watch(store: ResourceStore, since: int | None = None, labels: str = "", fields: str = "") -> Watch:
+    selector = parse_selector(JOBS, labels, fields)
+    return store.watch(JOBS, lambda: None, "climate", selector, since)
+
+
+def seen(its_watch: Watch) -> list[tuple[str, str]]:
+    return [(event.type.value, event.stored.name) for event in its_watch.take(10_000)]
+
+
+def code(error: pytest.ExceptionInfo[ApiError]) -> tuple[int, str]:
+    return error.value.code, error.value.reason
+
+
+def test_a_revision_grows_with_every_change_and_stale_writes_are_found() -> None:
+    store = ResourceStore(100)
+    first = store.create(JOBS, ("climate", "a"), body("a"))
+    assert (first.revision, first.body["metadata"]["resourceVersion"]) == (101, "101")
+    second = store.update(JOBS, ("climate", "a"), body("a"))
+    store.check_revision(JOBS, second, "102")
+    store.check_revision(JOBS, second, None)
+    with pytest.raises(ApiError) as stale:
+        store.check_revision(JOBS, second, "101")
+    assert code(stale) == (409, "Conflict")
+    with pytest.raises(ApiError) as again:
+        store.create(JOBS, ("climate", "a"), body("a"))
+    assert code(again) == (409, "AlreadyExists")
+    store.delete(JOBS, ("climate", "a"))
+    assert store.revision == 103
+    with pytest.raises(ApiError) as gone:
+        store.get(JOBS, ("climate", "a"))
+    assert code(gone) == (404, "NotFound")
+
+
+def test_a_list_in_parts_shows_one_revision_whatever_changes_meanwhile() -> None:
+    store = ResourceStore(0)
+    for n in range(10):
+        put(store, f"job-{n}")
+    page = store.select(JOBS, "climate", limit=4)
+    assert ([s.name for s in page.items], page.remaining) == (["job-0", "job-1", "job-2", "job-3"], 6)
+    store.delete(JOBS, ("climate", "job-5"))
+    put(store, "job-41")
+    second = store.select(JOBS, "climate", limit=4, token=page.continue_token)
+    assert [s.name for s in second.items] == ["job-4", "job-5", "job-6", "job-7"]
+    again = store.select(JOBS, "climate", limit=4, token=page.continue_token)
+    assert [s.name for s in again.items] == [s.name for s in second.items], "an answer may be lost"
+    last = store.select(JOBS, "climate", limit=4, token=second.continue_token)
+    assert [s.name for s in last.items] == ["job-8", "job-9"]
+    assert (last.continue_token, last.revision, page.revision) == ("", page.revision, 10)
+
+
+def test_a_list_that_is_no_longer_kept_goes_on_at_the_present_revision() -> None:
+    store = ResourceStore(0, StoreLimits(open_lists=1))
+    for n in range(6):
+        put(store, f"job-{n}")
+    page = store.select(JOBS, limit=2)
+    store.select(JOBS, limit=2)
+    put(store, "job-21")
+    with pytest.raises(ApiError) as error:
+        store.select(JOBS, limit=2, token=page.continue_token)
+    assert code(error) == (410, "Expired")
+    rest = store.select(JOBS, limit=9, token=error.value.continue_token)
+    assert [s.name for s in rest.items] == ["job-2", "job-21", "job-3", "job-4", "job-5"]
+
+
+@pytest.mark.parametrize("token", ["x", "AAAA", "WzFd", "!!!", "bnVsbA"])
+def test_a_token_of_nobody_is_a_bad_request(token: str) -> None:
+    with pytest.raises(ApiError) as error:
+        ResourceStore(0).select(JOBS, limit=2, token=token)
+    assert code(error) == (400, "BadRequest")
+
+
+def test_a_watch_starts_with_what_is_there_and_resumes_where_it_was_cut() -> None:
+    store = ResourceStore(0)
+    put(store, "a")
+    put(store, "b")
+    whole = watch(store)
+    assert seen(whole) == [("ADDED", "a"), ("ADDED", "b")]
+    cut_at = put(store, "a")
+    assert seen(whole) == [("MODIFIED", "a")]
+    whole.close()
+    put(store, "c")
+    store.delete(JOBS, ("climate", "b"))
+    resumed = watch(store, cut_at)
+    assert seen(resumed) == [("ADDED", "c"), ("DELETED", "b")]
+    assert seen(resumed) == []
+    assert store.watching(JOBS) == 1
+
+
+def test_what_leaves_a_selection_is_deleted_to_its_watch() -> None:
+    store = ResourceStore(0)
+    blue = watch(store, 0, labels="team=blue")
+    put(store, "a", team="blue")
+    put(store, "a", team="red")
+    put(store, "a", team="blue")
+    put(store, "b", team="red")
+    assert seen(blue) == [("ADDED", "a"), ("DELETED", "a"), ("ADDED", "a")]
+
+
+def test_a_watch_of_one_name_sees_that_one_alone() -> None:
+    store = ResourceStore(0)
+    put(store, "a")
+    start = store.revision
+    one = watch(store, start, fields="metadata.name=b")
+    for name in ("a", "b", "a", "b"):
+        put(store, name)
+    assert seen(one) == [("ADDED", "b"), ("MODIFIED", "b")]
+    one.close()
+    assert seen(watch(store, start, fields="metadata.name=b")) == [("ADDED", "b"), ("MODIFIED", "b")]
+
+
+def test_a_slow_watch_loses_its_buffer_and_holds_up_nobody() -> None:
+    store = ResourceStore(0, StoreLimits(watch_buffer=5))
+    wakes: list[int] = []
+    slow = store.watch(JOBS, lambda: wakes.append(1), "climate", since=0)
+    quick = watch(store, 0)
+    for n in range(8):
+        put(store, f"job-{n}")
+        seen(quick)
+    assert slow.expired and not quick.expired
+    assert (seen(slow), len(wakes)) == ([], 2), "woken for the first event and for the overflow"
+    assert store.revision == 8
+
+
+def test_a_revision_beyond_the_history_is_gone() -> None:
+    store = ResourceStore(1000, StoreLimits(history=5))
+    start = store.revision
+    for n in range(8):
+        put(store, f"job-{n}")
+    for since in (start, 1002, 5000):  # compacted, compacted, and of an earlier or other store
+        with pytest.raises(ApiError) as error:
+            watch(store, since)
+        assert code(error) == (410, "Expired")
+    assert len(seen(watch(store, 1003))) == 5
+    put(store, "job-7")
+    assert seen(watch(store, 1008, fields="metadata.name=job-7")) == [("MODIFIED", "job-7")]
+
+
+def test_a_large_object_takes_its_weight_of_the_history() -> None:
+    store = ResourceStore(0, StoreLimits(history=100))
+    store.create(JOBS, ("climate", "big"), body("big"), weight=80)
+    for n in range(30):
+        put(store, f"job-{n}")
+    with pytest.raises(ApiError):
+        watch(store, 0)
+    assert len(seen(watch(store, 1))) == 30
+
+
+def test_bounds_are_told_as_too_many_requests() -> None:
+    store = ResourceStore(0, StoreLimits(objects=2, watches=1))
+    put(store, "a")
+    store.create(MACHINES, ("", "n1"), {"metadata": {"name": "n1"}})
+    with pytest.raises(ApiError) as full:
+        put(store, "b")
+    assert code(full) == (429, "TooManyRequests")
+    kept = watch(store)
+    with pytest.raises(ApiError) as watches:
+        watch(store)
+    assert code(watches) == (429, "TooManyRequests")
+    kept.close()
+    watch(store)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abcd"), st.sampled_from(["put blue", "put red", "delete"])), max_size=40
+    ),
+    st.data(),
+)
+def test_a_watch_that_is_cut_anywhere_ends_with_the_list(
+    changes: list[tuple[str, str]], data: st.DataObject
+) -> None:
+    """What a client builds from a list and a watch with cuts equals a fresh list, for any selection."""
+    store = ResourceStore(0)
+    selector = data.draw(st.sampled_from(["", "team=blue", "team!=blue"]))
+    view: dict[str, int] = {}
+    revision = store.select(JOBS, "climate").revision
+    its_watch = watch(store, revision, labels=selector)
+    for name, change in changes:
+        if change == "delete":
+            if store.find(JOBS, ("climate", name)):
+                store.delete(JOBS, ("climate", name))
+        else:
+            put(store, name, team=change.split()[1])
+        if data.draw(st.booleans()):
+            for event in its_watch.take(data.draw(st.integers(0, 3))):
+                revision = event.revision
+                if event.type == "DELETED":
+                    del view[event.stored.name]
+                else:
+                    assert (event.type == "ADDED") == (event.stored.name not in view)
+                    view[event.stored.name] = event.stored.revision
+            if data.draw(st.booleans()):
+                its_watch.close()
+                its_watch = watch(store, revision, labels=selector)
+    for event in its_watch.take(1000):
+        if event.type == "DELETED":
+            del view[event.stored.name]
+        else:
+            view[event.stored.name] = event.stored.revision
+    listed = store.select(JOBS, "climate", parse_selector(JOBS, selector, "")).items
+    assert view == {stored.name: stored.revision for stored in listed}
