Machine side of the protocol: admission, starts, drain and a resumable outbox, on a socket

Placers need machines that refuse with reasons, start a few tasks at a time, keep one copy of a key, and can be asked what they hold. The server puts it on HTTP and abandons asks whose placer has left.

--- /dev/null
+++ b/kelpfront/machine/messages.py
@@ -0,0 +1,182 @@
+"""Messages between placers and machines: JSON over HTTP/1.1.
+
+A placer POSTs an `OfferRequest` to `/v1/offers` and gets the one `Answer` to it; it GETs `/v1/stream`, which
+goes on for as long as both live: one JSON message a line. It POSTs `StopRequest` to `/v1/stops` and GETs
+`/v1/probe`. Times are milliseconds of the common clock, or durations; cores and memory are in the units of
+the deployment.
+
+On the stream, `Taken` and `Gone` carry sequence numbers of one placer at one machine. A placer that comes
+back names the first one that it has not seen; the machine sends what was missed, or, where it no longer can
+or the placer is new, a `Snapshot` of all that it holds for that placer, which stands for all before it.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+AnswerKind = Literal["running", "accepted", "refused", "error"]
+TaskPhase = Literal["waiting", "starting", "running", "ended"]
+GoneCause = Literal["ended", "stopped", "failed", "evicted", "pushed-out", "sent-away", "lost"]
+
+# Why a machine refuses, word for word as owners read it.
+NO_CORES = "NO_CORES"
+NO_MEMORY = "NO_MEMORY"
+QUEUE_FULL = "QUEUE_FULL"
+NOT_HERE = "NOT_HERE"
+
+
+class Message(msgspec.Struct, frozen=True, forbid_unknown_fields=False, omit_defaults=True):
+    """Base: unknown fields of later versions are passed over."""
+
+
+class JobRef(Message, frozen=True):
+    """The job that a task is of: enough for a placer that starts anew to show it again."""
+
+    namespace: str
+    name: str
+    uid: str
+    index: int
+    count: int = 1
+    token: str = ""
+    labels: dict[str, str] = {}
+
+
+class Offer(Message, frozen=True):
+    """One attempt to place one task.
+
+    `task` is the task's uid, the same in all attempts; `attempt` counts them. `not_after` is when the placer
+    will have given up: a machine starts nothing for it later. `key` names keyed work; of one key one copy
+    stands in a `group` of machines.
+    """
+
+    task: str
+    attempt: int
+    job: JobRef
+    cls: str = msgspec.field(name="class")
+    service: str
+    cores: float
+    memory: float
+    effect: Literal["safe", "keyed", "unsafe"]
+    not_after: float
+    priority: int = 0
+    needs_kind: str = ""
+    key: str = ""
+    group: Literal["none", "machine", "cell", "zone", "all"] = "none"
+
+
+class OfferRequest(Message, frozen=True):
+    placer: str
+    incarnation: str
+    offer: Offer
+
+
+class LoadReport(Message, frozen=True):
+    """What a machine tells of itself: cores and memory that nobody asked for, and that are not in use."""
+
+    free_cores: float
+    free_memory: float
+    unused_cores: float
+    unused_memory: float
+    waiting: int = 0
+    busy: float = 0.0
+
+
+class Answer(Message, frozen=True):
+    """The one answer to an offer. `refused` proves that the task did not run; `error` proves nothing."""
+
+    answer: AnswerKind
+    reason: str = ""
+    message: str = ""
+    load: LoadReport | None = None
+
+
+class StopRequest(Message, frozen=True):
+    """The placer no longer wants a task: not for its owner, or because it moves."""
+
+    placer: str
+    task: str
+    attempt: int
+    why: str = ""
+
+
+class StopReply(Message, frozen=True):
+    """`unknown` where the machine holds no such attempt: it never came, or it is over."""
+
+    found: Literal["stopped", "stopping", "unknown"]
+
+
+class TaskReport(Message, frozen=True):
+    """A task as a machine holds it."""
+
+    offer: Offer
+    incarnation: str
+    phase: TaskPhase
+    cause: GoneCause | None = None
+    exit_code: int | None = None
+
+
+class Hello(Message, frozen=True, tag_field="t", tag="hello"):
+    """First on each stream. `boot` names one life of the machine; `age_ms` is how long ago that began."""
+
+    boot: str
+    age_ms: float
+    kind: str
+    heartbeat_ms: float
+    resumed: bool
+    next_seq: int
+
+
+class Snapshot(Message, frozen=True, tag_field="t", tag="snapshot"):
+    """All that the machine holds for this placer, and what ended not long ago. Stands for all up to `seq`."""
+
+    seq: int
+    tasks: tuple[TaskReport, ...]
+
+
+class Heartbeat(Message, frozen=True, tag_field="t", tag="heartbeat"):
+    state: Literal["ready", "draining"]
+    load: LoadReport
+
+
+class Taken(Message, frozen=True, tag_field="t", tag="taken"):
+    """An attempt was accepted, or runs. Sent whatever became of the answer to the offer."""
+
+    seq: int
+    task: str
+    attempt: int
+    running: bool
+
+
+class Gone(Message, frozen=True, tag_field="t", tag="gone"):
+    """A task that was accepted or ran is over."""
+
+    seq: int
+    task: str
+    attempt: int
+    cause: GoneCause
+    ran: bool
+    exit_code: int | None = None
+    message: str = ""
+
+
+class Note(Message, frozen=True, tag_field="t", tag="note"):
+    """How a running task fares: cores or memory in use, or the share of full service it gets."""
+
+    task: str
+    attempt: int
+    topic: Literal["cores", "memory", "service", "pressure"]
+    value: float
+
+
+StreamMessage = Hello | Snapshot | Heartbeat | Taken | Gone | Note
+Sequenced = Taken | Gone
+
+encode = msgspec.json.Encoder().encode
+decode_offer_request = msgspec.json.Decoder(OfferRequest).decode
+decode_stop_request = msgspec.json.Decoder(StopRequest).decode
+decode_answer = msgspec.json.Decoder(Answer).decode
+decode_stop_reply = msgspec.json.Decoder(StopReply).decode
+decode_load = msgspec.json.Decoder(LoadReport).decode
+decode_stream_message = msgspec.json.Decoder(StreamMessage).decode
--- /dev/null
+++ b/kelpfront/machine/server.py
@@ -0,0 +1,243 @@
+"""A machine on a socket: the protocol of `messages` over HTTP, around a `Node`.
+
+Who serves real processes or stand-ins gives a `Runtime`, which begins and halts tasks, tells the node what
+comes of them and then calls `changed`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
+
+import msgspec
+
+from kelpfront.http.server import HttpLimits, HttpServer, Request, Response
+from kelpfront.machine.messages import (
+    Answer,
+    OfferRequest,
+    decode_offer_request,
+    decode_stop_request,
+    encode,
+)
+from kelpfront.machine.node import Begin, Halt, Node, Reply
+
+STATUS_OF_ANSWER = {"running": 200, "accepted": 200, "refused": 409, "error": 500}
+
+
+class Runtime(Protocol):
+    """Runs tasks. Both calls return at once; what comes of them is told to the node later."""
+
+    def begin(self, begin: Begin) -> None: ...
+
+    def halt(self, halt: Halt) -> None: ...
+
+
+class MachineServer:
+    """Serves one node. All calls are from the event loop's thread."""
+
+    def __init__(
+        self, node: Node, runtime: Runtime, now: Callable[[], float], limits: HttpLimits | None = None
+    ) -> None:
+        self.node, self._runtime, self._now = node, runtime, now
+        self.http = HttpServer(self.handle, limits)
+        self._answers: dict[tuple[str, int], list[asyncio.Future[Answer]]] = {}
+        self._streams: dict[str, asyncio.Event] = {}  # of each placer the latest; a new one ends the old
+        self._draining = node.draining
+        self._timer: asyncio.TimerHandle | None = None
+        self.closed = asyncio.Event()
+
+    async def start(self, host: str, port: int) -> None:
+        await self.http.start(host, port)
+
+    def abort(self) -> None:
+        """Vanish as a machine that loses its power does."""
+        self.closed.set()
+        if self._timer is not None:
+            self._timer.cancel()
+        for futures in self._answers.values():
+            for future in futures:
+                future.cancel()
+        self.http.abort()
+
+    async def close(self) -> None:
+        """End the streams and stop serving; tasks go on."""
+        self.closed.set()
+        if self._timer is not None:
+            self._timer.cancel()
+        for wake in self._streams.values():
+            wake.set()
+        await self.http.close()
+
+    def changed(self) -> None:
+        """Carry out the node's effects; to be called after anything was told to the node."""
+        for effect in self.node.take_effects():
+            match effect:
+                case Reply(task, attempt, answer):
+                    for future in self._answers.pop((task, attempt), ()):
+                        if not future.done():
+                            future.set_result(answer)
+                case Begin():
+                    self._runtime.begin(effect)
+                case Halt():
+                    self._runtime.halt(effect)
+        if self.node.draining != self._draining:
+            self._draining = self.node.draining
+            for wake in self._streams.values():
+                wake.set()  # placers must not hear of a drain a heartbeat late
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        at = self.node.next_timer()
+        if at != float("inf") and not self.closed.is_set():
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, at - self._now()) / 1000.0, self._advance)
+
+    def _advance(self) -> None:
+        self._timer = None
+        self.node.advance(self._now())
+        self.changed()
+
+    # ---- Requests -------------------------------------------------------------------------------------
+
+    async def handle(self, request: Request) -> Response:
+        try:
+            match request.method, request.path:
+                case "POST", "/v1/offers":
+                    return await self.take_offer(decode_offer_request(request.body), request)
+                case "POST", "/v1/stops":
+                    reply = self.node.stop(self._now(), decode_stop_request(request.body))
+                    self.changed()
+                    return Response(200, encode(reply))
+                case "GET", "/v1/probe":
+                    return Response(200, encode(self.node.load()))
+                case "GET", "/v1/stream":
+                    return self.open_stream(request)
+        except msgspec.DecodeError as error:
+            return Response(400, encode({"error": str(error)}))
+        return Response(404, encode({"error": f"{request.method} {request.path}: no such call"}))
+
+    async def take_offer(self, offered: OfferRequest, request: Request) -> Response:
+        answer = await self.answer_of(offered, request)
+        return Response(STATUS_OF_ANSWER[answer.answer], encode(answer))
+
+    async def answer_of(self, offered: OfferRequest, request: Request) -> Answer:
+        """The node's answer; an offer whose placer leaves meanwhile is abandoned."""
+        offer = offered.offer
+        key = offer.task, offer.attempt
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._answers.setdefault(key, []).append(future)
+        self.node.offer(self._now(), offered)
+        self.changed()
+        if future.done():
+            return future.result()
+        stop_watching = request.peer.on_change(lambda: self._left(key, future))
+        try:
+            return await future
+        finally:
+            stop_watching()
+
+    def _left(self, key: tuple[str, int], future: asyncio.Future[Answer]) -> None:
+        waiting = self._answers.get(key, [])
+        if future not in waiting:
+            return
+        waiting.remove(future)
+        future.cancel()
+        if not waiting:
+            self._answers.pop(key, None)
+            self.abandoned(key)
+            self.node.abandon(self._now(), *key)
+            self.changed()
+
+    def abandoned(self, key: tuple[str, int]) -> None:
+        """A hook: the last connection that waited for this offer's answer has gone."""
+
+    # ---- The stream -----------------------------------------------------------------------------------
+
+    def open_stream(self, request: Request) -> Response:
+        placer = request.query.get("placer", "")
+        if not placer:
+            return Response(400, encode({"error": "placer: is required"}))
+        try:
+            first = int(request.query["from"]) if "from" in request.query else None
+        except ValueError:
+            return Response(400, encode({"error": "from: a whole number is expected"}))
+        boot = request.query.get("boot", "")
+        if boot and boot != self.node.boot:
+            first = None  # numbers of an earlier life mean nothing now
+        wake = asyncio.Event()
+        older = self._streams.get(placer)
+        self._streams[placer] = wake
+        if older is not None:
+            older.set()
+        stop_watching = request.peer.on_change(wake.set)
+        lines = self._lines(placer, first, wake, request, stop_watching)
+        return Response(200, content_type="application/jsonl", stream=lines)
+
+    async def _lines(
+        self,
+        placer: str,
+        first: int | None,
+        wake: asyncio.Event,
+        request: Request,
+        stop_watching: Callable[[], None],
+    ) -> AsyncIterator[bytes]:
+        node = self.node
+        outbox = node.outbox(placer)
+        outbox.on_change = wake.set
+        hello = node.hello(self._now(), placer, first)
+        out = [hello]
+        if hello.resumed:
+            at = hello.next_seq
+        else:
+            snapshot = node.snapshot(placer)
+            out.append(snapshot)  # type: ignore[arg-type]
+            at = snapshot.seq + 1
+        lines = [encode(message) for message in out]
+        loop = asyncio.get_running_loop()
+        beat_at = loop.time()
+        draining = node.draining
+        try:
+            while True:
+                wake.clear()
+                if outbox.reaches(at):
+                    missed = outbox.since(at)
+                    lines += [encode(message) for message in missed]
+                    at += len(missed)
+                else:  # the placer read too slowly: what it missed is no longer kept
+                    snapshot = node.snapshot(placer)
+                    lines.append(encode(snapshot))
+                    at = snapshot.seq + 1
+                lines += [encode(note) for note in outbox.take_notes()]
+                if loop.time() >= beat_at or node.draining != draining:
+                    draining = node.draining
+                    beat_at = loop.time() + node.settings.heartbeat_ms / 1000.0
+                    lines.append(encode(node.heartbeat()))
+                    self.told(placer, draining)
+                if lines:
+                    yield b"\n".join(lines) + b"\n"
+                    lines = []
+                if self._streams.get(placer) is not wake or self.closed.is_set() or request.peer.gone:
+                    return
+                if at < outbox.next_seq:
+                    continue
+                try:
+                    async with asyncio.timeout_at(beat_at):
+                        await wake.wait()
+                except TimeoutError:
+                    pass
+        finally:
+            stop_watching()
+            if self._streams.get(placer) is wake:
+                del self._streams[placer]
+                outbox.on_change = _nothing
+
+    def told(self, placer: str, draining: bool) -> None:
+        """A hook: the placer's stream carries this state now."""
+
+
+def _nothing() -> None:
+    pass
