Settings in INI, inventories in CSV and YAML, operations of the REST API

Operators keep settings and node lists by hand and with tools. Inventories are read as they are written (quotes, comments, BOM, CRLF, Ansible groups and ranges, `no` as a name); cut lines, doubled hosts, unknown kinds, two spellings of a room and doubled YAML keys are named with line, column and host, and a faulty file is refused whole. The REST front maps list, watch, create, replace, merge patch and delete to operations on the placer's heart.

--- /dev/null
+++ b/kelpfront/config/model.py
@@ -0,0 +1,388 @@
+"""The settings: every section and key, its unit, its bounds and what it means.
+
+They say what the cluster is and what its owners want. No figure that a decision is tuned by is here: those
+are constants of the modules that decide, each with its reason.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, GetCoreSchemaHandler, model_validator
+from pydantic_core import core_schema
+
+from kelpfront.units import format_duration, format_size, parse_duration, parse_size
+
+
+class Checked:
+    """Metadata of a key: reads its text, knows what is allowed, and writes a value back as text."""
+
+    allowed = "text"
+
+    def read(self, text: str) -> Any:
+        """The value of a key's text; ValueError where it is not one."""
+        raise NotImplementedError
+
+    def show(self, value: Any) -> str:
+        return str(value)
+
+    def __get_pydantic_core_schema__(
+        self, source: Any, handler: GetCoreSchemaHandler
+    ) -> core_schema.CoreSchema:
+        def check(value: Any) -> Any:
+            return self.read(value.strip()) if isinstance(value, str) else value
+
+        return core_schema.no_info_before_validator_function(check, handler(source))
+
+
+@dataclass(frozen=True)
+class _Range(Checked):
+    """A value between two bounds."""
+
+    least: Any
+    most: Any
+
+    def _within(self, text: str, value: Any, least: Any, most: Any) -> Any:
+        if not least <= value <= most:  # also refuses NaN
+            raise ValueError(f"{text!r} is out of range")
+        return value
+
+
+class Duration(_Range):
+    """Kept in milliseconds."""
+
+    @property
+    def allowed(self) -> str:  # type: ignore[override]
+        return f"a duration from {self.least} to {self.most}"
+
+    def read(self, text: str) -> float:
+        ms = parse_duration(text)
+        return float(self._within(text, ms, parse_duration(self.least), parse_duration(self.most)))
+
+    def show(self, value: Any) -> str:
+        return format_duration(value)
+
+
+class Size(_Range):
+    """Kept in bytes."""
+
+    @property
+    def allowed(self) -> str:  # type: ignore[override]
+        return f"a size from {self.least} to {self.most}"
+
+    def read(self, text: str) -> int:
+        return int(self._within(text, parse_size(text), parse_size(self.least), parse_size(self.most)))
+
+    def show(self, value: Any) -> str:
+        return format_size(value)
+
+
+class Number(_Range):
+    @property
+    def allowed(self) -> str:  # type: ignore[override]
+        return f"a number from {self.least:g} to {self.most:g}"
+
+    def read(self, text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            raise ValueError(f"{text!r} is not a number") from None
+        return float(self._within(text, value, self.least, self.most))
+
+    def show(self, value: Any) -> str:
+        return f"{value:g}"
+
+
+class Whole(_Range):
+    @property
+    def allowed(self) -> str:  # type: ignore[override]
+        return f"a whole number from {self.least} to {self.most}"
+
+    def read(self, text: str) -> int:
+        try:
+            value = int(text)
+        except ValueError:
+            raise ValueError(f"{text!r} is not a whole number") from None
+        return int(self._within(text, value, self.least, self.most))
+
+
+class _YesNo(Checked):
+    allowed = "yes or no"
+
+    def read(self, text: str) -> bool:
+        if text.lower() in ("yes", "true", "on"):
+            return True
+        if text.lower() in ("no", "false", "off"):
+            return False
+        raise ValueError(f"{text!r} is neither yes nor no")
+
+    def show(self, value: Any) -> str:
+        return "yes" if value else "no"
+
+
+class _Words(Checked):
+    allowed = "text"
+
+    def read(self, text: str) -> str:
+        if not text:
+            raise ValueError("is empty")
+        return text
+
+
+class _Names(Checked):
+    allowed = "names, with commas between"
+
+    def read(self, text: str) -> tuple[str, ...]:
+        names = tuple(name.strip() for name in text.split(","))
+        if not all(names) or len(set(names)) < len(names):
+            raise ValueError(f"{text!r} has an empty or a repeated name")
+        return names
+
+    def show(self, value: Any) -> str:
+        return ", ".join(value)
+
+
+class _Address(Checked):
+    allowed = "HOST:PORT; port 0 takes a free one"
+
+    def read(self, text: str) -> str:
+        host, colon, port = text.rpartition(":")
+        if not (colon and host and port.isascii() and port.isdigit() and int(port) < 65536):
+            raise ValueError(f"{text!r} is not HOST:PORT")
+        return text
+
+
+Flag = Annotated[bool, _YesNo()]
+Text = Annotated[str, _Words()]
+Address = Annotated[str, _Address()]
+
+
+class Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
+
+
+class PlacerSection(Section):
+    """This placer."""
+
+    name: Text = Field("placer-0", description="What machines know it by; each placer has its own.")
+    number: Annotated[int, Whole(0, 9999)] = Field(0, description="Its number among the placers, from 0.")
+    room: Text | None = Field(None, description="The room that it is in, if any.")
+    listen: Address = Field("127.0.0.1:8140", description="Where the REST API is served.")
+    inventory: Text = Field("inventory.csv", description="The machines: a .csv or .yaml file, from here.")
+    seed: Annotated[int, Whole(0, 2**63 - 1)] | None = Field(
+        None, description="Of the decisions' chance; drawn at start if absent."
+    )
+
+
+class ClusterSection(Section):
+    """What all placers of the cluster share, to the letter."""
+
+    placers: Annotated[int, Whole(1, 10_000)] = Field(1, description="How many placers there are.")
+    rooms: Annotated[tuple[str, ...], _Names()] | None = Field(
+        None, description="All rooms; an inventory may then name no other."
+    )
+    mean_cores: Annotated[float, Number(1e-6, 1e6)] = Field(
+        1.0, description="Cores that a task asks for in the mean."
+    )
+    mean_memory: Annotated[float, Number(1e-6, 1e9)] = Field(
+        2.0, description="Memory that a task asks for in the mean."
+    )
+    accepts_cores: Annotated[float, Number(0.1, 100)] = Field(
+        2.0, description="A machine accepts tasks up to so many times its cores."
+    )
+    accepts_memory: Annotated[float, Number(0.1, 100)] = Field(
+        1.5, description="A machine accepts tasks up to so many times its memory."
+    )
+    answer: Literal["running", "accepted"] = Field(
+        "running", description="When a machine says yes: when the task runs, or once it is accepted."
+    )
+    pushes_out: Flag = Field(False, description="Machines push out tasks of lower priority to make room.")
+    reports_use: Flag = Field(True, description="Machines tell what is in use, not only what is asked for.")
+    max_attempts: Annotated[int, Whole(1, 4)] = Field(
+        4, description="Attempts at the most for one placing of a task."
+    )
+    connect_timeout: Annotated[float, Duration("10ms", "450ms")] = Field(
+        parse_duration("250 ms"), description="For a connection to a machine; also how far clocks may differ."
+    )
+    recheck: Annotated[float, Duration("0s", "60s")] = Field(
+        parse_duration("3 s"), description="How long the owner of a failed task looks whether it runs."
+    )
+    lost_after: Annotated[float, Duration("1s", "1h")] = Field(
+        parse_duration("15 s"), description="A machine out of touch for so long has lost its tasks."
+    )
+    max_retry_after: Annotated[float, Duration("0s", "60s")] = Field(
+        parse_duration("3 s"), description="The longest pause that a refusal may ask for."
+    )
+    tick: Annotated[float, Duration("1ms", "100ms")] = Field(
+        parse_duration("20 ms"),
+        description="How late a timer may be; answers are given two ticks before they are due.",
+    )
+
+
+class RulesSection(Section):
+    """Figures of the rules."""
+
+    answer_grace: Annotated[float, Duration("0s", "1s")] = Field(
+        parse_duration("8 ms"), description="Time past the patience in which an answer still counts."
+    )
+    drain_grace: Annotated[float, Duration("0s", "60s")] = Field(
+        parse_duration("500 ms"), description="Time in which offers to a draining machine must end."
+    )
+    cold_from: Annotated[float, Number(0.01, 1)] = Field(
+        0.24, description="Share of its full pace of starts that a machine has when it comes up."
+    )
+    cold_for: Annotated[float, Duration("0s", "1h")] = Field(
+        parse_duration("17 s"), description="It is warm no later than this."
+    )
+    cold_multiple: Annotated[float, Number(1, 100)] = Field(
+        2.5, description="Offered more than so many times its present pace a cold machine falls over."
+    )
+    cold_window: Annotated[float, Duration("10ms", "60s")] = Field(
+        parse_duration("2 s"), description="... for so long."
+    )
+    cold_offers: Annotated[float, Number(0, 100_000)] = Field(
+        57, description="Offers in one window, from all placers together, that a cold machine always bears."
+    )
+
+
+class KindSection(Section):
+    """A kind of machine: [kind NAME]."""
+
+    cores: Annotated[float, Number(1e-3, 1e5)] = Field(description="Cores of a machine of this kind.")
+    memory: Annotated[float, Number(1e-3, 1e9)] = Field(
+        description="Its memory, in the unit in which tasks ask for it."
+    )
+
+
+class ClassSection(Section):
+    """A class of tasks: [class NAME]."""
+
+    effect: Literal["safe", "keyed", "unsafe"] = Field(
+        description="What a second start does: no harm, none within group and window, or harm."
+    )
+    group: Literal["machine", "rack", "room", "all"] | None = Field(
+        None, description="Of a keyed class: the machines of which one copy of a key stands."
+    )
+    window: Annotated[float, Duration("10ms", "1h")] | None = Field(
+        None, description="Of a keyed class: how long a repeat is known as one."
+    )
+    aim: Annotated[float, Duration("1ms", "1h")] = Field(description="A start within this time is in time.")
+    deadline: Annotated[float, Duration("10ms", "1h")] = Field(
+        description="How long owners wait, unless a job says otherwise."
+    )
+    worth: Annotated[float, Number(0, 1e6)] = Field(
+        1.0, description="Worth of a second of a task of mean size."
+    )
+    start_worth: Annotated[float, Duration("0s", "1h")] = Field(
+        0.0, description="Seconds of service that a start in time is worth."
+    )
+    late_worth: Annotated[float, Number(0, 1)] = Field(
+        0.2, description="Share of that which a late start is worth."
+    )
+    priority: Annotated[int, Whole(0, 100)] = Field(
+        0, description="Higher ones go first, and push out lower ones."
+    )
+    needs_kind: Text | None = Field(None, description="The only kind of machine that can run it, if any.")
+    apart: Literal["none", "machine", "rack", "room"] = Field(
+        "none", description="Where at most `together` tasks of a service may be, for one placer."
+    )
+    together: Annotated[int, Whole(1, 100_000)] = Field(1, description="How many may be in one such place.")
+    calm: Annotated[float, Number(0.01, 10)] = Field(
+        1.0, description="Served in full while a machine's cores are busy up to this share."
+    )
+    fade: Annotated[float, Number(0, 10)] = Field(
+        0.2, description="Not served at all when they are busy by so much more."
+    )
+
+    @model_validator(mode="after")
+    def _keyed_or_not(self) -> ClassSection:
+        if self.effect == "keyed" and (self.group is None or self.window is None):
+            raise ValueError("group and window: are required where effect is keyed")
+        if self.effect != "keyed" and (self.group is not None or self.window is not None):
+            raise ValueError("group and window: are allowed only where effect is keyed")
+        return self
+
+
+class PricesSection(Section):
+    """What things cost, in points of service; the decisions weigh them."""
+
+    refused_offer: Annotated[float, Number(0, 1)] = Field(0.0, description="An offer that a machine refuses.")
+    machines_held: Annotated[float, Number(0, 1)] = Field(
+        0.0, description="Machines held beyond those needed."
+    )
+    move: Annotated[float, Number(0, 1)] = Field(0.0, description="A task moved.")
+    eviction_moves: Annotated[float, Number(0, 100)] = Field(
+        1.0, description="An eviction counts as so many moves."
+    )
+    waste: Annotated[float, Number(0, 1)] = Field(0.0, description="Work wasted.")
+    probe: Annotated[float, Number(0, 1)] = Field(0.0, description="A probe a task.")
+    list_line: Annotated[float, Number(0, 1)] = Field(0.0, description="A hundred list lines a task.")
+
+
+class LimitsSection(Section):
+    """Bounds on what one placer holds and takes; each is a bound on its memory."""
+
+    open_tasks: Annotated[int, Whole(1, 10_000_000)] = Field(50_000, description="Tasks without an answer.")
+    jobs: Annotated[int, Whole(1, 10_000_000)] = Field(100_000, description="Jobs that are not finished.")
+    finished_jobs: Annotated[int, Whole(0, 10_000_000)] = Field(
+        10_000, description="Finished jobs kept to be read."
+    )
+    history: Annotated[int, Whole(100, 10_000_000)] = Field(
+        50_000, description="Changes kept for watches to resume from, in objects and tasks."
+    )
+    watches: Annotated[int, Whole(1, 1_000_000)] = Field(10_000, description="Open watches.")
+    watch_buffer: Annotated[int, Whole(10, 1_000_000)] = Field(
+        2_000, description="Events that a watch may be behind."
+    )
+    connections: Annotated[int, Whole(1, 1_000_000)] = Field(
+        10_000, description="Connections to the REST API."
+    )
+    body: Annotated[int, Size("1 KiB", "1 GiB")] = Field(
+        parse_size("1 MiB"), description="The body of a request."
+    )
+    head: Annotated[int, Size("1 KiB", "1 MiB")] = Field(
+        parse_size("32 KiB"), description="The head of a request."
+    )
+    request_time: Annotated[float, Duration("100ms", "10min")] = Field(
+        parse_duration("10 s"), description="For a request to arrive; slower ones are dropped."
+    )
+    idle_time: Annotated[float, Duration("1s", "1h")] = Field(
+        parse_duration("90 s"), description="A connection without requests is closed after this."
+    )
+
+
+class LogSection(Section):
+    """The log, on standard error."""
+
+    level: Literal["debug", "info", "warning", "error"] = Field("info", description="The least shown.")
+    format: Literal["auto", "json", "console"] = Field(
+        "auto", description="JSON lines, or for people; auto: for people on a terminal."
+    )
+
+
+class Config(Section):
+    """All settings of a placer."""
+
+    placer: PlacerSection = PlacerSection()
+    cluster: ClusterSection = ClusterSection()
+    rules: RulesSection = RulesSection()
+    prices: PricesSection = PricesSection()
+    limits: LimitsSection = LimitsSection()
+    log: LogSection = LogSection()
+    kinds: dict[str, KindSection] = Field(min_length=1)
+    classes: dict[str, ClassSection] = Field(min_length=1)
+
+
+PLAIN_SECTIONS: dict[str, type[Section]] = {
+    "placer": PlacerSection,
+    "cluster": ClusterSection,
+    "rules": RulesSection,
+    "prices": PricesSection,
+    "limits": LimitsSection,
+    "log": LogSection,
+}
+NAMED_SECTIONS: dict[str, tuple[str, type[Section]]] = {
+    "kind": ("kinds", KindSection),
+    "class": ("classes", ClassSection),
+}
--- /dev/null
+++ b/kelpfront/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The fronts: protocols in which owners speak to a placer. All end in `kelpfront.placer.operations`."""
--- a/kelpfront/http/server.py
+++ b/kelpfront/http/server.py
@@ -258,6 +258,7 @@
         limits: HttpLimits,
     ) -> None:
         self._conn, self._reader, self._writer, self._limits = conn, reader, writer, limits
+        self._head_only = False
         self._loop = asyncio.get_running_loop()
 
     async def _read(self) -> None:
@@ -298,6 +299,7 @@
             raise RequestError(431, f"{len(event.headers)} headers; {limits.headers} are allowed")
         headers = {name.decode("ascii"): value.decode("latin-1") for name, value in event.headers}
         body = await self._read_body(headers)
+        self._head_only = event.method == b"HEAD"
         target = urlsplit(event.target.decode("ascii"))
         query = dict(parse_qsl(target.query, keep_blank_values=True))
         return Request(
@@ -349,7 +351,7 @@
         conn = self._conn
         parts = [
             conn.send(h11.Response(status_code=response.status, headers=headers)),
-            conn.send(h11.Data(data=response.body)) if response.body else b"",
+            conn.send(h11.Data(data=response.body)) if response.body and not self._head_only else b"",
             conn.send(h11.EndOfMessage()),
         ]
         await self._write(b"".join(part for part in parts if part))
--- a/kelpfront/placer/directory.py
+++ b/kelpfront/placer/directory.py
@@ -15,8 +15,8 @@
 from kelpfront.clock import timestamp
 from kelpfront.inventory.model import Host, Inventory
 from kelpfront.machine.messages import Heartbeat, Hello, LoadReport
+from kelpfront.numbers import Places, machine_number
 from kelpfront.placer.cluster import Cluster
-from kelpfront.placer.numbers import Places, machine_number
 
 MISSED_BEATS = 4  # heartbeats a machine may miss: one late by a stall is ordinary, four in a row are not
 RECONNECT_MS = 1_000.0  # a broken stream may take so long to be back before its machine counts as gone
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -24,10 +24,10 @@
 from kelpfront.api.meta import JOBS, MACHINES
 from kelpfront.inventory.model import Inventory
 from kelpfront.machine import messages as wire
+from kelpfront.numbers import service_number
 from kelpfront.placer.cluster import Cluster
 from kelpfront.placer.directory import SHOW_PERIOD_MS, Changes, Directory, Entry
 from kelpfront.placer.intents import AbandonOffer, Intent, LogLine, SendOffer, SendProbe, SendStop
-from kelpfront.placer.numbers import service_number
 from kelpfront.placer.strays import Verdict, judge
 from kelpfront.placer.tasks import OVER, Attempt, Job, Task
 from kelpfront.rules import Scheduler
@@ -291,6 +291,7 @@
         usable = entry is not None and entry.state is State.READY
         held_up = now - attempt.decided_at > self.cluster.settings.connect_timeout_ms
         if not usable or held_up or now >= attempt.timeout_at:
+            attempt.held_back = True
             return False
         attempt.sent_at = now
         return True
@@ -329,7 +330,9 @@
         attempt = None if task is None else task.attempt(wire_number)
         if attempt is None or not attempt.open or attempt.placed:
             return
-        if attempt.sent_at is None:
+        if attempt.held_back:
+            self._close(now, attempt, api.End.NOT_SENT, end="not sent", message="held back")
+        elif attempt.sent_at is None:
             self._close(now, attempt, api.End.UNREACHABLE, end="unreachable", message=message)
         else:
             self._close(now, attempt, api.End.RESET, end="reset", message=message)
--- /dev/null
+++ b/kelpfront/placer/operations.py
@@ -0,0 +1,227 @@
+"""What owners and operators may do, whatever the protocol: checked, then carried out by the heart. No I/O.
+
+Every front calls these. An `ApiError` is the answer where something is not done.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from kelpfront.api import machines as machine_api
+from kelpfront.api.decode import FieldValidation, decode
+from kelpfront.api.errors import ApiError, Cause, conflict, invalid
+from kelpfront.api.jobs import JOB_INPUT, JobInput, JobSpec
+from kelpfront.api.machines import MACHINE_INPUT
+from kelpfront.api.meta import JOBS, MACHINES, Object, ObjectMeta, Resource, check_name, check_namespace
+from kelpfront.api.patch import merge_patch
+from kelpfront.api.selectors import Selector
+from kelpfront.placer.heart import Heart
+from kelpfront.store import ResourceStore, Stored
+
+NAME_ALPHABET = "bcdfghjklmnpqrstvwxz2456789"
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """An object after a write; `created` is False where a repeated request found what the first had made."""
+
+    stored: Stored
+    created: bool = False
+    warnings: tuple[str, ...] = ()
+
+
+class Operations:
+    """Of one placer. `now` is the common clock; `closed` says why no jobs are taken, empty where they are."""
+
+    def __init__(self, heart: Heart, now: Callable[[], float], rng: random.Random) -> None:
+        self._heart, self._now, self._rng = heart, now, rng
+        self.closed = ""
+
+    @property
+    def store(self) -> ResourceStore:
+        return self._heart.store
+
+    # ---- Jobs -----------------------------------------------------------------------------------------
+
+    def create_job(
+        self, namespace: str, data: Object, received_at: float, validation: FieldValidation = "Strict"
+    ) -> Written:
+        """Takes a job, or finds the one that the same client token made before."""
+        self._check_namespace(namespace)
+        job, warnings = decode(JOB_INPUT, JOBS, data, validation)
+        self._check_metadata(JOBS, job.metadata, namespace, job.metadata.name)
+        spec = job.spec
+        if spec.client_token is not None:
+            known = self._heart.find_token(namespace, spec.client_token)
+            if known is not None:
+                self._check_same(known, job)
+                return Written(known, False, warnings)
+        if self.closed:
+            raise ApiError(503, self.closed, retry_after_s=1)
+        stored = self._heart.submit(
+            self._now(),
+            namespace,
+            self._name(namespace, job),
+            spec,
+            job.metadata.labels or {},
+            job.metadata.annotations or {},
+            received_at,
+        )
+        return Written(stored, True, warnings)
+
+    def _check_same(self, known: Stored, job: JobInput) -> None:
+        """409 where a token that made one job comes with another."""
+        new = job.spec.model_dump(by_alias=True, exclude_none=True)
+        old = known.body["spec"]
+        differing = [name for name, value in new.items() if name != "count" and old.get(name) != value]
+        if job.metadata.name is not None and job.metadata.name != known.name:
+            differing.insert(0, "metadata.name")
+        if differing:
+            raise conflict(
+                JOBS, known.name, f"its clientToken comes with another {', '.join(differing)} than before"
+            )
+
+    def _name(self, namespace: str, job: JobInput) -> str:
+        """The client's name for the job, or one made of its token or of chance."""
+        if job.metadata.name is not None:
+            return job.metadata.name
+        prefix = job.metadata.generate_name or "job-"
+        if job.spec.client_token is not None:
+            digest = hashlib.blake2b(job.spec.client_token.encode(), digest_size=8).hexdigest()
+            candidates = [prefix + digest]
+        else:
+            candidates = ["".join([prefix, *self._rng.choices(NAME_ALPHABET, k=8)]) for _ in range(4)]
+        try:
+            check_name(candidates[0])
+        except ValueError as error:
+            raise invalid(JOBS, candidates[0], (Cause("metadata.generateName", str(error)),)) from None
+        free = [name for name in candidates if self.store.find(JOBS, (namespace, name)) is None]
+        return free[0] if free else candidates[0]
+
+    def replace_job(
+        self,
+        namespace: str,
+        name: str,
+        data: Object,
+        received_at: float,
+        validation: FieldValidation = "Strict",
+    ) -> Written:
+        """PUT: spec, labels and annotations as given."""
+        stored = self.store.get(JOBS, (namespace, name))
+        job, warnings = decode(JOB_INPUT, JOBS, data, validation)
+        self._check_metadata(JOBS, job.metadata, namespace, name)
+        self.store.check_revision(JOBS, stored, job.metadata.resource_version)
+        return Written(self._update_job(stored, job.spec, job.metadata, received_at), False, warnings)
+
+    def patch_job(
+        self,
+        namespace: str,
+        name: str,
+        patch: Any,
+        received_at: float,
+        validation: FieldValidation = "Strict",
+    ) -> Written:
+        """JSON merge patch of spec, labels and annotations."""
+        stored = self.store.get(JOBS, (namespace, name))
+        merged = self._patched(JOBS, stored, patch)
+        job, warnings = decode(JOB_INPUT, JOBS, merged, validation)
+        self._check_metadata(JOBS, job.metadata, namespace, name)
+        self.store.check_revision(JOBS, stored, job.metadata.resource_version)
+        return Written(self._update_job(stored, job.spec, job.metadata, received_at), False, warnings)
+
+    def _update_job(self, stored: Stored, spec: JobSpec, metadata: ObjectMeta, received_at: float) -> Stored:
+        if self.closed and spec.count > stored.body["spec"]["count"]:
+            raise ApiError(503, self.closed, retry_after_s=1)
+        return self._heart.update(
+            self._now(), stored.key, spec, metadata.labels or {}, metadata.annotations or {}, received_at
+        )
+
+    def delete_job(self, namespace: str, name: str, options: Object | None = None) -> Stored:
+        """Removes a job; preconditions on uid and resourceVersion are held to."""
+        stored = self.store.get(JOBS, (namespace, name))
+        self._check_preconditions(JOBS, stored, options or {})
+        return self._heart.delete(self._now(), stored.key)
+
+    def delete_jobs(self, namespace: str, selector: Selector) -> list[Stored]:
+        """Removes all jobs of a namespace that a selector chooses."""
+        page = self.store.select(JOBS, namespace, selector)
+        return [self._heart.delete(self._now(), stored.key) for stored in page.items]
+
+    # ---- Machines -------------------------------------------------------------------------------------
+
+    def replace_machine(self, name: str, data: Object, validation: FieldValidation = "Strict") -> Written:
+        stored = self.store.get(MACHINES, ("", name))
+        return self._write_machine(stored, data, validation)
+
+    def patch_machine(self, name: str, patch: Any, validation: FieldValidation = "Strict") -> Written:
+        stored = self.store.get(MACHINES, ("", name))
+        return self._write_machine(stored, self._patched(MACHINES, stored, patch), validation)
+
+    def _write_machine(self, stored: Stored, data: Object, validation: FieldValidation) -> Written:
+        """Only `unschedulable` is the API's to change: it drains the machine."""
+        machine, warnings = decode(MACHINE_INPUT, MACHINES, data, validation)
+        self._check_metadata(MACHINES, machine.metadata, "", stored.name)
+        self.store.check_revision(MACHINES, stored, machine.metadata.resource_version)
+        new = machine.spec.model_dump(by_alias=True)
+        causes = tuple(
+            Cause(f"spec.{field}", "is the inventory's and cannot be changed here", "FieldValueForbidden")
+            for field in machine_api.FIXED_SPEC_FIELDS
+            if new[field] != stored.body["spec"][field]
+        )
+        if causes:
+            raise invalid(MACHINES, stored.name, causes)
+        if machine.spec.unschedulable == stored.body["spec"]["unschedulable"]:
+            return Written(stored, False, warnings)
+        return Written(
+            self._heart.cordon(self._now(), stored.name, machine.spec.unschedulable), False, warnings
+        )
+
+    # ---- Both -----------------------------------------------------------------------------------------
+
+    @staticmethod
+    def _check_namespace(namespace: str) -> None:
+        try:
+            check_namespace(namespace)
+        except ValueError as error:
+            raise ApiError(400, str(error)) from None
+
+    @staticmethod
+    def _check_metadata(resource: Resource, metadata: ObjectMeta, namespace: str, name: str | None) -> None:
+        """What a client writes must be about the object that it names in the path."""
+        if metadata.namespace is not None and metadata.namespace != namespace:
+            raise ApiError(
+                400, f"metadata.namespace is {metadata.namespace!r}, the request's is {namespace!r}"
+            )
+        if name is not None and metadata.name is not None and metadata.name != name:
+            cause = Cause("metadata.name", f"is {metadata.name!r}, the request's is {name!r}")
+            raise invalid(resource, name, (cause,))
+
+    @staticmethod
+    def _patched(resource: Resource, stored: Stored, patch: Any) -> Object:
+        if not isinstance(patch, dict):
+            raise ApiError(400, "a merge patch of an object is an object")
+        merged: Object = merge_patch({k: v for k, v in stored.body.items() if k != "status"}, patch)
+        if not isinstance(merged.get("metadata"), dict):
+            raise invalid(resource, stored.name, (Cause("metadata", "must be an object"),))
+        given = patch.get("metadata") or {}
+        if "resourceVersion" not in given:  # the patch is meant for whatever revision there is
+            merged["metadata"].pop("resourceVersion", None)
+        return merged
+
+    @staticmethod
+    def _check_preconditions(resource: Resource, stored: Stored, options: Object) -> None:
+        wanted = options.get("preconditions") or {}
+        if not isinstance(wanted, dict):
+            raise ApiError(400, "preconditions: an object is expected")
+        uid = stored.body["metadata"]["uid"]
+        if wanted.get("uid") not in (None, uid):
+            raise conflict(resource, stored.name, f"the uid in the precondition is not its uid ({uid})")
+        revision = wanted.get("resourceVersion")
+        if revision not in (None, str(stored.revision)):
+            raise conflict(
+                resource, stored.name, f"the resourceVersion in the precondition is not {stored.revision}"
+            )
--- a/kelpfront/placer/tasks.py
+++ b/kelpfront/placer/tasks.py
@@ -52,6 +52,7 @@
     decided_at: float
     timeout_at: float
     sent_at: float | None = None
+    held_back: bool = False  # the gate did not let it go out: its machine is not to blame
     placed: bool = False
     ended_at: float | None = None
     end: str = ""
--- /dev/null
+++ b/kelpfront/service/links.py
@@ -0,0 +1,219 @@
+"""The placer's connections to its machines: offers out, answers in, one stream from each machine.
+
+A link carries out what the heart wants and tells it what came of it. It chooses nothing: not the machine, not
+a time-out, not whether to try again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+from urllib.parse import quote, urlsplit
+
+import msgspec
+import structlog
+
+from kelpfront.http.client import HttpConnection, HttpError, HttpPool
+from kelpfront.machine.messages import (
+    Answer,
+    Gone,
+    Hello,
+    OfferRequest,
+    Snapshot,
+    Taken,
+    decode_answer,
+    decode_load,
+    decode_stop_reply,
+    decode_stream_message,
+    encode,
+)
+from kelpfront.placer.backoff import Backoff
+from kelpfront.placer.heart import Heart
+from kelpfront.placer.intents import AbandonOffer, SendOffer, SendProbe, SendStop
+
+log = structlog.get_logger("kelpfront.links")
+
+CONNECTIONS = 32  # to one machine, besides the stream; each offer that is out holds one
+STOPS_AT_ONCE = 4  # to one machine
+STREAM_CONNECT_S = 2.0
+STREAM_SILENT_S = 10.0  # nothing at all for so long: the connection is dead, whatever TCP says
+LINE_MOST = 64 << 20  # bytes of one message: a snapshot of some ten thousand tasks
+
+
+class Link:
+    """To one machine. `changed` is called after each thing that was told to the heart."""
+
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        heart: Heart,
+        now: Callable[[], float],
+        changed: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self.host, self.address = host, address
+        self._heart, self._now, self._changed = heart, now, changed
+        parts = urlsplit(address)
+        self._name, self._port = parts.hostname or "", parts.port or 80
+        self._path = parts.path.rstrip("/")
+        connect_s = heart.cluster.settings.connect_timeout_ms / 1000.0
+        self._pool = HttpPool(self._name, self._port, CONNECTIONS, connect_s)
+        self._offers: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._jobs: set[asyncio.Task[None]] = set()
+        self._stop_turns = asyncio.Semaphore(STOPS_AT_ONCE)
+        self._backoff = Backoff(rng)
+        self._boot, self._next_seq = "", 0
+        self._stream = self._spawn(self._follow())
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+        return task
+
+    async def close(self) -> None:
+        self._pool.close()
+        jobs = list(self._jobs)
+        for task in jobs:
+            task.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+
+    # ---- Offers ---------------------------------------------------------------------------------------
+
+    def offer(self, intent: SendOffer) -> None:
+        key = intent.offer.task, intent.offer.attempt
+        task = self._spawn(self._send_offer(intent))
+        self._offers[key] = task
+        task.add_done_callback(lambda _: self._offers.pop(key, None))
+
+    def abandon(self, intent: AbandonOffer) -> None:
+        task = self._offers.get((intent.task, intent.attempt))
+        if task is not None:
+            task.cancel()
+
+    async def _send_offer(self, intent: SendOffer) -> None:
+        offer, heart = intent.offer, self._heart
+        body = encode(OfferRequest(heart.name, heart.incarnation, offer))
+        try:
+            connection = await self._pool.acquire()
+            try:
+                reply = await connection.request(
+                    "POST",
+                    f"{self._path}/v1/offers",
+                    body,
+                    (("content-type", "application/json"),),
+                    before_send=lambda: heart.clear_to_send(self._now(), offer.task, offer.attempt),
+                )
+            finally:
+                self._pool.release(connection)
+        except HttpError as error:
+            heart.offer_failed(self._now(), offer.task, offer.attempt, str(error))
+        else:
+            try:
+                answer = decode_answer(reply.body)
+            except msgspec.DecodeError as error:
+                answer = Answer("error", "", f"HTTP {reply.status}, not an answer: {error}")
+            heart.offer_answered(self._now(), offer.task, offer.attempt, answer)
+        self._changed()
+
+    # ---- Stops and probes -----------------------------------------------------------------------------
+
+    def stop(self, intent: SendStop) -> None:
+        self._spawn(self._send_stop(intent))
+
+    async def _send_stop(self, intent: SendStop) -> None:
+        """Once: the heart has it told again when the machine's stream is back."""
+        async with self._stop_turns:
+            try:
+                reply = await self._call("POST", "/v1/stops", encode(intent.stop))
+                decode_stop_reply(reply)
+            except (HttpError, msgspec.DecodeError, TimeoutError) as error:
+                log.info("stop not heard", machine=self.host, task=intent.stop.task, error=str(error))
+                return
+        self._heart.stop_heard(self.host, intent.stop.task)
+
+    def probe(self, intent: SendProbe) -> None:
+        self._spawn(self._send_probe())
+
+    async def _send_probe(self) -> None:
+        began = self._now()
+        try:
+            load = decode_load(await self._call("GET", "/v1/probe"))
+        except (HttpError, msgspec.DecodeError, TimeoutError):
+            self._heart.probe_answered(self._now(), self.host, False, self._now() - began, None)
+        else:
+            self._heart.probe_answered(self._now(), self.host, True, self._now() - began, load)
+        self._changed()
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> bytes:
+        async with asyncio.timeout(STREAM_SILENT_S):
+            connection = await self._pool.acquire()
+            try:
+                return (await connection.request(method, self._path + path, body)).body
+            finally:
+                self._pool.release(connection)
+
+    # ---- The stream -----------------------------------------------------------------------------------
+
+    async def _follow(self) -> None:
+        """Reads the machine's stream for as long as the link lives, from where it broke."""
+        while True:
+            try:
+                await self._read_stream()
+                error = "ended"
+            except (HttpError, OSError, TimeoutError, msgspec.DecodeError, ValueError) as caught:
+                error = f"{type(caught).__name__}: {caught}"
+            self._heart.link_down(self._now(), self.host)
+            self._changed()
+            pause = self._backoff.failed()
+            level = log.info if self._backoff.failures == 1 else log.debug
+            level("stream broke", machine=self.host, error=error, again_ms=round(pause))
+            await asyncio.sleep(pause / 1000.0)
+            self._pool.sweep()
+
+    async def _read_stream(self) -> None:
+        target = f"{self._path}/v1/stream?placer={quote(self._heart.name)}"
+        if self._boot:
+            target += f"&boot={quote(self._boot)}&from={self._next_seq}"
+        async with asyncio.timeout(STREAM_CONNECT_S):
+            connection = await HttpConnection.open(self._name, self._port)
+        try:
+            async with asyncio.timeout(STREAM_SILENT_S):
+                status, _, pieces = await connection.stream("GET", target)
+            if status != 200:
+                raise ValueError(f"HTTP {status}")
+            rest = b""
+            iterator = pieces.__aiter__()
+            while True:
+                try:
+                    async with asyncio.timeout(STREAM_SILENT_S):
+                        piece = await anext(iterator)
+                except StopAsyncIteration:
+                    return
+                *lines, rest = (rest + piece).split(b"\n")
+                if len(rest) > LINE_MOST:
+                    raise ValueError(f"a message of over {LINE_MOST} bytes")
+                for line in lines:
+                    self._take(line)
+                self._changed()
+        finally:
+            connection.abort()
+
+    def _take(self, line: bytes) -> None:
+        message = decode_stream_message(line)
+        match message:
+            case Hello():
+                self._backoff.worked()
+                self._boot = message.boot
+                self._next_seq = message.next_seq
+                log.info("stream up", machine=self.host, boot=message.boot, resumed=message.resumed)
+            case Snapshot(seq):
+                self._next_seq = seq + 1
+            case Taken(seq) | Gone(seq):
+                if seq < self._next_seq:
+                    return  # told before the break
+                self._next_seq = seq + 1
+        self._heart.stream_message(self._now(), self.host, message)
--- /dev/null
+++ b/tests/test_inventory.py
@@ -0,0 +1,256 @@
+"""Inventories as people and tools write them: quirks are read, faults are named and nothing is misread."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpfront.inventory import Inventory, InventoryError, KindSize, read_inventory
+from kelpfront.inventory.build import Builder
+from kelpfront.inventory.csvfile import read_csv
+from kelpfront.inventory.yamlfile import read_yaml
+
+KINDS = {"small": KindSize(24, 48), "large": KindSize(48, 96)}
+
+
+def load(text: str, form: str = "csv", rooms: tuple[str, ...] = ()) -> tuple[Inventory, list[str]]:
+    builder = Builder(f"hosts.{form}", KINDS, frozenset(rooms))
+    (read_csv if form == "csv" else read_yaml)(text, builder)
+    return builder.finish(), [str(warning) for warning in builder.warnings]
+
+
+def faults(text: str, form: str = "csv", rooms: tuple[str, ...] = ()) -> list[str]:
+    with pytest.raises(InventoryError) as error:
+        load(text, form, rooms)
+    return [str(problem) for problem in error.value.problems]
+
+
+# ---- CSV --------------------------------------------------------------------------------------------------
+
+PLAIN = """host,kind,rack,room
+n01.example.org,small,r1,east
+n02.example.org,large,r2,west
+"""
+
+
+def test_a_plain_file() -> None:
+    inventory, warnings = load(PLAIN)
+    assert warnings == []
+    assert list(inventory.hosts) == ["n01.example.org", "n02.example.org"]
+    host = inventory.hosts["n02.example.org"]
+    assert (host.kind, host.rack, host.room, host.cores, host.memory) == ("large", "r2", "west", 48, 96)
+    assert host.address == "http://n02.example.org:8141"
+
+
+def test_the_quirks_of_files_kept_by_hand() -> None:
+    text = (
+        "# kept by hand\r\n\r\n"
+        'Hostname; Type ;"Cell";Zone;CPUs;URL;Serial\r\n'
+        '"n1" ; small;"r;1"; east ;24.0;10.0.0.1:9001/a/;X1\r\n'
+        '  # an old one\r\nn2;"large";"r ""two""";east;;http://10.0.0.1:9002;\r\n'
+    )
+    inventory, warnings = load(text)
+    assert [(h.name, h.rack, h.room, h.address) for h in inventory.hosts.values()] == [
+        ("n1", "r;1", "east", "http://10.0.0.1:9001/a"),
+        ("n2", 'r "two"', "east", "http://10.0.0.1:9002"),
+    ]
+    assert warnings == ["hosts.csv:3:38: column 'Serial' is not used"]
+
+
+@pytest.mark.parametrize(
+    ("rows", "says"),
+    [
+        ("n3,small,r1,east", "hosts.csv:4:17: the file ends inside this line"),
+        ("n3,small,r1\n", "hosts.csv:4:1: n3: 3 of 4 fields; the file may be cut off here"),
+        ("n3,small,r1,east,more\n", "n3: 5 of 4 fields; a separator too many?"),
+        ('n3,"small,r1,east\n', "hosts.csv:4:1: is not CSV"),
+        ('n3,sm"all,r1,east\nn4,x', "is not CSV"),
+        ("N01.example.org.,small,r1,east\n", "is there twice, first as n01.example.org in line 2"),
+        ("n3,medium,r1,east\n", "hosts.csv:4:4: n3: unknown kind 'medium'; the settings have small, large"),
+        ("n3,small,r1,East\n", "hosts.csv:4:13: n3: room 'East' is spelled 'east' in line 2"),
+        ("n3,small,r-1,east\n", "n3: rack 'r-1' is spelled 'r1' in line 2"),
+        ("n3,small,,east\n", "n3: rack is missing"),
+        (",small,r1,east\n", "hosts.csv:4:1: the host is missing"),
+        ("n_3!,small,r1,east\n", "n_3!: is not a host name"),
+        ("n3,small,r1,north\n", "room 'north' is not one of the settings': east, west"),
+    ],
+)
+def test_a_fault_is_named_with_line_column_and_host(rows: str, says: str) -> None:
+    found = faults(PLAIN + rows, rooms=("east", "west"))
+    assert any(says in fault for fault in found), found
+
+
+@pytest.mark.parametrize(
+    ("row", "says"),
+    [
+        ("n1,small,r1,east,-24,48,", "n1: cores '-24' is not a number above 0"),
+        ("n1,small,r1,east,nan,48,", "n1: cores 'nan' is not a number above 0"),
+        ("n1,small,r1,east,24,64,", "n1: memory 64: kind small has 48"),
+        ("n1,small,r1,east,24,lots,", "n1: memory 'lots' is not a number above 0"),
+        ("n1,small,r1,east,,,ftp://h:1", "n1: address 'ftp://h:1' is not HOST:PORT"),
+        ("n1,small,r1,east,,,h:99999", "n1: address 'h:99999' is not HOST:PORT"),
+        ("n1,small,r1,east,,,h:1\nn2,small,r1,east,,,http://H:1/", "n2: has the address of n1 in line 2"),
+    ],
+)
+def test_figures_and_addresses(row: str, says: str) -> None:
+    found = faults(f"host,kind,rack,room,cores,memory,address\n{row}\n")
+    assert any(says in fault for fault in found), found
+
+
+def test_missing_and_doubled_columns() -> None:
+    assert faults("host,kind,rack\nn1,small,r1\n") == [
+        "hosts.csv:1:1: column room is missing; needed: host, kind, rack, room"
+    ]
+    assert "column rack is there twice" in faults("host,kind,rack,room,cell\nn1,small,r1,e,r1\n")[0]
+    assert load("host,kind,rack,room,adress\nn1,small,r1,e,x\n")[1] == [
+        "hosts.csv:1:21: column 'adress' is not used; address meant?"
+    ]
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [("", "is empty"), ("# nothing\n", "is empty"), (PLAIN.split("\n")[0] + "\n", "no host")],
+)
+def test_files_without_hosts(text: str, says: str) -> None:
+    assert any(says in fault for fault in faults(text))
+
+
+def test_all_faults_are_told_at_once_and_the_count_is_bounded() -> None:
+    rows = "".join(f"n{n},medium,,east\n" for n in range(300))
+    found = faults("host,kind,rack,room\n" + rows)
+    assert len(found) == 201
+    assert found[-1].endswith("and 400 problems more")
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(st.integers(1, 400))
+def test_a_file_cut_anywhere_is_refused_or_whole_lines(cut: int) -> None:
+    """A cut inside a line is always found; one between lines leaves whole hosts only."""
+    header = "host,kind,rack,room,address\n"
+    text = header + "".join(f"n{n:02},small,r{n % 3},east,10.0.0.{n}:9000\n" for n in range(12))
+    part = text[:cut]
+    if part.endswith("\n") and len(part) > len(header):
+        assert len(load(part)[0].hosts) == part.count("\n") - 1
+    else:
+        assert faults(part)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.text(alphabet='ab",;\n\r\t#:[]{}-& *', max_size=80), st.sampled_from(["csv", "yaml"]))
+def test_no_text_breaks_a_reader(text: str, form: str) -> None:
+    try:
+        load(text, form)
+    except InventoryError as error:
+        assert error.problems
+
+
+# ---- YAML -------------------------------------------------------------------------------------------------
+
+GROUPS = """\
+# as the configuration tool keeps it
+all:
+  vars:
+    kind: small
+    ansible_user: ops
+  children:
+    east:
+      vars: {room: no, rack: 012}
+      hosts:
+        n[01:03].example.org:
+        n09.example.org:
+          kind: large
+          ansible_host: 10.0.0.9:9000
+    west:
+      vars: &west
+        room: west
+      children:
+        west_rack:
+          vars:
+            <<: *west
+            rack: r7
+          hosts:
+            m[a:c:2]: {kelpfront_port: 9100}
+"""
+
+
+def test_groups_variables_and_ranges() -> None:
+    inventory, _ = load(GROUPS, "yaml")
+    hosts = inventory.hosts
+    assert list(hosts) == [
+        "n01.example.org",
+        "n02.example.org",
+        "n03.example.org",
+        "n09.example.org",
+        "ma",
+        "mc",
+    ]
+    first = hosts["n01.example.org"]
+    assert (first.kind, first.room, first.rack) == ("small", "no", "012"), "as written, not as YAML types"
+    assert (hosts["n09.example.org"].kind, hosts["n09.example.org"].address) == (
+        "large",
+        "http://10.0.0.9:9000",
+    )
+    assert (hosts["mc"].room, hosts["mc"].rack, hosts["mc"].address) == ("west", "r7", "http://mc:9100")
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("all:\n  hosts:\n    n1: {kind: small", "is not YAML"),
+        ("all:\n  hosts:\n    n1: {kind: small, rack: r, room: e}", "the file ends inside this line"),
+        ("all:\n\thosts:\n", "hosts.yaml:2:1: is not YAML"),
+        ("- n1\n", "the file: a mapping is expected"),
+        ("all:\n  hosts:\n    - n1\n", "hosts of all: a mapping is expected"),
+        ("all:\n  host:\n    n1:\n", "group all: 'host' is not one of hosts, children, vars"),
+        (
+            "a:\n  hosts:\n    n1: {kind: small, rack: r, room: e}\n    n1: {kind: large}\n",
+            "hosts.yaml:4:5: n1: 'n1' is there twice in hosts of a, first in line 3",
+        ),
+        (
+            "a: {vars: {room: e, rack: r, kind: small}, hosts: {n1: }}\n"
+            "b: {vars: {room: f}, hosts: {n1: }}\n",
+            "n1: room is 'f' by group b and 'e' by group a in line 1",
+        ),
+        ("a: {hosts: {n1: {kind: small, rack: r}}}\n", "n1: room is missing"),
+        ("a: {hosts: {n1: {kind: small, rack: r, room: '{{ site }}'}}}\n", "templates are not filled in"),
+        ("a: {hosts: {n1: {kind: [small], rack: r, room: e}}}\n", "kind: one value is expected"),
+        ("a: {hosts: {'n[5:1]': }}\n", "the range ends before it begins"),
+        ("a: {hosts: {'n[1:999999]': }}\n", "more than 100000 hosts"),
+        ("a: {hosts: {'n[1:999][1:999]': }}\n", "more than 100000 hosts"),
+        ("a: {hosts: {'n[1-5]': }}\n", "a range is FIRST:LAST"),
+        ("a: &a\n  children:\n    b: *a\n", "nested too deeply"),
+        ("", "is empty"),
+    ],
+)
+def test_yaml_faults_are_named(text: str, says: str) -> None:
+    found = faults(text, "yaml")
+    assert any(says in fault for fault in found), found
+
+
+def test_groups_that_refer_to_each_other_many_times_end() -> None:
+    """Aliases that double at each level must not be walked to the end."""
+    levels = "".join(f"g{n}: &g{n} {{children: {{a: *g{n - 1}, b: *g{n - 1}}}}}\n" for n in range(1, 40))
+    found = faults("g0: &g0 {hosts: {n1: }}\n" + levels, "yaml")
+    assert any("nested too deeply or too many" in fault for fault in found)
+
+
+# ---- Files ------------------------------------------------------------------------------------------------
+
+
+def test_files_that_cannot_be_read_at_all(tmp_path: Path) -> None:
+    for name, data, says in (
+        ("a.txt", b"x", "one of .csv, .yaml, .yml is expected"),
+        ("b.csv", b"host\xff\n", "is not UTF-8 at byte 4"),
+        ("c.csv", b"host\0\n", "NUL"),
+    ):
+        (tmp_path / name).write_bytes(data)
+        with pytest.raises(InventoryError, match=says):
+            read_inventory(tmp_path / name, KINDS)
+    with pytest.raises(InventoryError, match="No such file"):
+        read_inventory(tmp_path / "none.csv", KINDS)
+    (tmp_path / "d.csv").write_bytes(b"\xef\xbb\xbf" + PLAIN.encode())
+    inventory, warnings = read_inventory(tmp_path / "d.csv", KINDS)
+    assert (len(inventory.hosts), warnings) == (2, [])
