Command line on click and a client library that resumes its watches

Owners and operators need to work the placer from a terminal and from Python. The client's Informer (no I/O) turns lists and watch lines into events: after a cut it resumes behind the last event, on 410 it lists anew and works out what changed.

--- /dev/null
+++ b/kelpfront/cli/common.py
@@ -0,0 +1,120 @@
+"""What commands share: options, errors as exit codes, and output for people and for programs."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import sys
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from pathlib import Path
+from typing import Any, NoReturn, ParamSpec, TypeVar
+
+import click
+import yaml
+from rich.console import Console
+from rich.table import Table
+
+from kelpfront.api.errors import ApiError
+from kelpfront.client import ServerUnreachableError
+from kelpfront.config import Config, ConfigError, read_config
+
+P = ParamSpec("P")
+R = TypeVar("R")
+
+NOT_DONE, UNREACHABLE = 1, 5
+
+server_option = click.option(
+    "--server",
+    envvar="KELPFRONT_SERVER",
+    default="http://127.0.0.1:8140",
+    show_default=True,
+    help="The placer's address; also from KELPFRONT_SERVER.",
+)
+namespace_option = click.option(
+    "-n", "--namespace", envvar="KELPFRONT_NAMESPACE", default="default", show_default=True
+)
+output_option = click.option(
+    "-o",
+    "--output",
+    type=click.Choice(["table", "json", "yaml", "name"]),
+    default="table",
+    show_default=True,
+    help="A table for people, or the objects.",
+)
+labels_option = click.option("-l", "--selector", default="", help="Only objects whose labels match.")
+fields_option = click.option("--field-selector", default="", help="Only objects whose fields match.")
+config_option = click.option(
+    "-c",
+    "--config",
+    "config_path",
+    type=click.Path(path_type=Path),
+    default="kelpfront.ini",
+    show_default=True,
+    help="The settings file.",
+)
+set_option = click.option(
+    "--set", "overrides", multiple=True, metavar="SECTION.KEY=VALUE", help="Put over the settings file's."
+)
+
+
+def fail(message: str, code: int = NOT_DONE) -> NoReturn:
+    click.echo(message, err=True)
+    raise SystemExit(code)
+
+
+def load_config(path: Path, overrides: Iterable[str] = ()) -> Config:
+    try:
+        return read_config(path, overrides)
+    except ConfigError as error:
+        fail(str(error))
+
+
+def run(call: Callable[P, Coroutine[Any, Any, R]]) -> Callable[P, R]:
+    """Runs a command's coroutine; errors of the server and its absence become messages and exit codes."""
+
+    @functools.wraps(call)
+    def wrapped(*args: P.args, **kwargs: P.kwargs) -> R:
+        try:
+            return asyncio.run(call(*args, **kwargs))
+        except ApiError as error:
+            lines = [f"{error.reason}: {error.message}"]
+            if len(error.causes) > 1:
+                lines += [f"  {cause.field}: {cause.message}" for cause in error.causes]
+            fail("\n".join(lines))
+        except ServerUnreachableError as error:
+            fail(f"the placer could not be reached: {error}", UNREACHABLE)
+        except KeyboardInterrupt:
+            raise SystemExit(130) from None
+
+    return wrapped
+
+
+def console() -> Console:
+    return Console(width=None if sys.stdout.isatty() else 160, highlight=False)
+
+
+def show(
+    output: str, objects: Sequence[dict[str, Any]], table: Callable[[], Table], *, one: bool = False
+) -> None:
+    """Objects as the caller wants them."""
+    match output:
+        case "json":
+            data = objects[0] if one else {"kind": "List", "apiVersion": "v1", "items": list(objects)}
+            click.echo(json.dumps(data, indent=2))
+        case "yaml":
+            text = yaml.safe_dump_all(list(objects), sort_keys=False, explicit_start=len(objects) > 1)
+            click.echo(text, nl=False)
+        case "name":
+            for obj in objects:
+                click.echo(f"{obj['kind'].lower()}/{obj['metadata']['name']}")
+        case _:
+            console().print(table())
+
+
+def plain_table(*columns: str) -> Table:
+    table = Table(box=None, pad_edge=False, header_style="bold")
+    for column in columns:
+        right = column in ("TASKS", "CORES", "MEMORY", "FREE", "FREE MEM", "PLACED", "REFUSED", "FAILED")
+        table.add_column(column, justify="right" if right else "left", no_wrap=column in ("NAME", "MACHINE"))
+    return table
--- /dev/null
+++ b/kelpfront/cli/files.py
@@ -0,0 +1,75 @@
+"""Checks of files, before they are used."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import click
+
+from kelpfront.cli.common import config_option, fail, load_config, set_option
+from kelpfront.config import build_cluster, example
+from kelpfront.inventory import InventoryError, KindSize, read_inventory
+
+
+@click.group()
+def config() -> None:
+    """Settings files."""
+
+
+@config.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+@set_option
+def config_check(file: Path, overrides: tuple[str, ...]) -> None:
+    """Check a settings file: every mistake with its place and what is allowed."""
+    its = load_config(file, overrides)
+    try:
+        build_cluster(its)
+    except ValueError as error:
+        fail(f"{file}: {error}")
+    click.echo(f"{file}: {len(its.classes)} classes, {len(its.kinds)} kinds: in order")
+
+
+@config.command("example")
+def config_example() -> None:
+    """Print a settings file with every key, its default, what is allowed and what it means."""
+    click.echo(example(), nl=False)
+
+
+@click.group()
+def inventory() -> None:
+    """Inventories: which machines there are."""
+
+
+@inventory.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+@config_option
+def inventory_check(file: Path, config_path: Path) -> None:
+    """Check an inventory file (.csv, .yaml) against the kinds and rooms of the settings."""
+    its = load_config(config_path)
+    kinds = {name: KindSize(kind.cores, kind.memory) for name, kind in its.kinds.items()}
+    try:
+        found, warnings = read_inventory(file, kinds, its.cluster.rooms or ())
+    except InventoryError as error:
+        fail(str(error))
+    for warning in warnings:
+        click.echo(f"warning: {warning}", err=True)
+    rooms = {host.room for host in found.hosts.values()}
+    racks = {(host.room, host.rack) for host in found.hosts.values()}
+    click.echo(f"{file}: {len(found.hosts)} machines, {len(racks)} racks, {len(rooms)} rooms: in order")
+
+
+@click.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print the completion script of a shell, to be sourced from its start-up file."""
+    script = subprocess.run(
+        [sys.argv[0]],
+        env={**os.environ, "_KELPFRONT_COMPLETE": f"{shell}_source"},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    click.echo(script.stdout, nl=False)
--- /dev/null
+++ b/kelpfront/cli/jobs.py
@@ -0,0 +1,350 @@
+"""Commands that speak to a placer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import uuid
+from pathlib import Path
+from typing import Any
+
+import click
+import yaml
+from rich.table import Table
+
+from kelpfront.api.meta import JOBS, MACHINES, Object, Resource
+from kelpfront.cli.common import (
+    console,
+    fail,
+    fields_option,
+    labels_option,
+    namespace_option,
+    output_option,
+    plain_table,
+    run,
+    server_option,
+    show,
+)
+from kelpfront.client import Client, Event
+from kelpfront.units import parse_duration
+
+RESOURCES = {"job": JOBS, "jobs": JOBS, "machine": MACHINES, "machines": MACHINES}
+resource_argument = click.argument("resource", type=click.Choice(list(RESOURCES)))
+all_option = click.option("-A", "--all-namespaces", is_flag=True, help="Jobs of all namespaces.")
+
+REFUSED, FAILED = 3, 4
+WAIT_SLACK_S = 10.0  # past the patience, for the answer to come over
+
+
+@click.command()
+@server_option
+@namespace_option
+@click.option(
+    "-f", "--file", type=click.Path(path_type=Path), help="A job as JSON or YAML; options go over it."
+)
+@click.option("--name", help="The job's name; made up if absent.")
+@click.option("--class", "class_", help="The class of its tasks.")
+@click.option("--service", help="The service that they belong to.")
+@click.option("--cores", type=float, help="Cores that each task asks for.")
+@click.option("--memory", type=float, help="Memory that each task asks for.")
+@click.option("--count", type=int, help="How many tasks.")
+@click.option("--patience", help="How long to wait for each answer, such as 5s.")
+@click.option("--key", help="Of a keyed class: what names the work.")
+@click.option("--token", help="Doing the same again with a token finds the first job; made up if absent.")
+@click.option("--label", "labels", multiple=True, metavar="KEY=VALUE")
+@click.option("--wait", is_flag=True, help="Follow the job until each task has its answer.")
+@output_option
+@run
+async def submit(
+    server: str,
+    namespace: str,
+    file: Path | None,
+    name: str | None,
+    class_: str | None,
+    service: str | None,
+    cores: float | None,
+    memory: float | None,
+    count: int | None,
+    patience: str | None,
+    key: str | None,
+    token: str | None,
+    labels: tuple[str, ...],
+    wait: bool,
+    output: str,
+) -> None:
+    """Submit a job."""
+    body = _read_body(file) if file is not None else {}
+    metadata, spec = body.setdefault("metadata", {}), body.setdefault("spec", {})
+    if name is not None:
+        metadata["name"] = name
+    for label in labels:
+        its_key, equals, value = label.partition("=")
+        if not equals:
+            raise click.BadParameter(f"{label!r} is not KEY=VALUE", param_hint="--label")
+        metadata.setdefault("labels", {})[its_key] = value
+    given = {
+        "class": class_,
+        "service": service,
+        "cores": cores,
+        "memory": memory,
+        "count": count,
+        "patience": patience,
+        "key": key,
+        "clientToken": token,
+    }
+    spec.update({field: value for field, value in given.items() if value is not None})
+    spec.setdefault("clientToken", str(uuid.uuid4()))
+    async with Client(server) as client:
+        job = await client.create(JOBS, metadata.get("namespace", namespace), body)
+        if wait:
+            job = await _follow(client, job, quiet=output != "table")
+    show(output, [job], lambda: _tasks_table(job), one=True)
+    if wait:
+        counts = job["status"]["counts"]
+        answers = [task.get("answer") for task in job["status"]["tasks"]]
+        if "Failed" in answers:
+            raise SystemExit(FAILED)
+        if counts.get("refused"):
+            raise SystemExit(REFUSED)
+
+
+def _read_body(path: Path) -> Any:
+    try:
+        body = yaml.safe_load(path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        fail(f"{path}: {error}")
+    except yaml.YAMLError as error:
+        fail(f"{path}: is neither JSON nor YAML: {error}")
+    if not isinstance(body, dict) or not isinstance(body.get("spec", {}), dict):
+        fail(f"{path}: a job is a mapping with a spec")
+    return body
+
+
+async def _follow(client: Client, job: Object, quiet: bool) -> Object:
+    """The job once all is answered; changes of its tasks are shown meanwhile."""
+    metadata = job["metadata"]
+    patience_s = parse_duration(job["spec"]["patience"]) / 1000.0
+    seen: dict[int, str] = {}
+    try:
+        async with asyncio.timeout(patience_s + WAIT_SLACK_S):
+            async for event in client.watch(
+                JOBS, metadata["namespace"], field_selector=f"metadata.name={metadata['name']}"
+            ):
+                if event.kind == "DELETED":
+                    fail(f"job {metadata['name']} was deleted")
+                job = event.object
+                for task in job["status"]["tasks"]:
+                    text = " ".join(filter(None, [task["state"], task.get("machine"), task.get("reason")]))
+                    if not quiet and seen.get(task["index"]) != text:
+                        seen[task["index"]] = text
+                        click.echo(f"{metadata['name']}/{task['index']}: {text}", err=True)
+                if job["status"]["answered"] == len(job["status"]["tasks"]):
+                    return job
+    except TimeoutError:
+        fail(f"job {metadata['name']}: no answer within its patience and {WAIT_SLACK_S:g} s")
+    raise AssertionError
+
+
+@click.command()
+@server_option
+@namespace_option
+@all_option
+@labels_option
+@fields_option
+@output_option
+@resource_argument
+@click.argument("name", required=False)
+@run
+async def get(
+    server: str,
+    namespace: str,
+    all_namespaces: bool,
+    selector: str,
+    field_selector: str,
+    output: str,
+    resource: str,
+    name: str | None,
+) -> None:
+    """Show jobs or machines, or one of them."""
+    its = RESOURCES[resource]
+    where = namespace if its.namespaced and not all_namespaces else None
+    async with Client(server) as client:
+        if name is not None:
+            objects = [await client.read(its, namespace, name)]
+        else:
+            objects, _ = await client.list_objects(its, where, selector, field_selector)
+    show(output, objects, lambda: _table(its, objects, all_namespaces), one=name is not None)
+
+
+@click.command()
+@server_option
+@namespace_option
+@click.argument("resource", type=click.Choice(["job"]))
+@click.argument("name")
+@run
+async def describe(server: str, namespace: str, resource: str, name: str) -> None:
+    """Show a job with every attempt of its tasks: which machines were asked and what they said."""
+    async with Client(server) as client:
+        job = await client.read(RESOURCES[resource], namespace, name)
+    out = console()
+    spec = job["spec"]
+    out.print(f"[bold]{job['metadata']['namespace']}/{job['metadata']['name']}[/]  {job['status']['phase']}")
+    out.print("  " + "  ".join(f"{key} {value}" for key, value in spec.items()))
+    out.print(_tasks_table(job))
+    table = plain_table("TASK", "ATTEMPT", "MACHINE", "SENT", "END", "REASON", "MESSAGE")
+    for task in job["status"]["tasks"]:
+        for attempt in task["attempts"]:
+            table.add_row(
+                str(task["index"]),
+                str(attempt["attempt"]),
+                attempt["machine"],
+                attempt["sentAt"][11:23],
+                attempt.get("end", "out" if not task.get("answer") else ""),
+                attempt.get("reason", ""),
+                attempt.get("message", ""),
+            )
+    out.print(table)
+
+
+@click.command()
+@server_option
+@namespace_option
+@all_option
+@labels_option
+@fields_option
+@output_option
+@click.option("--seconds", type=float, help="End after so long.")
+@resource_argument
+@click.argument("name", required=False)
+@run
+async def watch(
+    server: str,
+    namespace: str,
+    all_namespaces: bool,
+    selector: str,
+    field_selector: str,
+    output: str,
+    seconds: float | None,
+    resource: str,
+    name: str | None,
+) -> None:
+    """Show jobs or machines and every change of them until Ctrl-C. Cuts are resumed."""
+    its = RESOURCES[resource]
+    where = namespace if its.namespaced and not all_namespaces else None
+    if name is not None:
+        field_selector = ",".join(filter(None, [field_selector, f"metadata.name={name}"]))
+    async with Client(server) as client:
+        try:
+            async with asyncio.timeout(seconds):
+                async for event in client.watch(its, where, selector, field_selector):
+                    _show_event(its, event, output)
+        except TimeoutError:
+            return
+
+
+def _show_event(resource: Resource, event: Event, output: str) -> None:
+    obj = event.object
+    if output == "json":
+        click.echo(json.dumps({"type": event.kind, "object": obj}))
+    elif output == "yaml":
+        click.echo(yaml.safe_dump({"type": event.kind, "object": obj}, sort_keys=False, explicit_start=True))
+    elif output == "name":
+        click.echo(f"{event.kind} {obj['kind'].lower()}/{obj['metadata']['name']}")
+    else:
+        click.echo(f"{event.kind:<8}  " + "  ".join(_row(resource, obj, True)))
+
+
+@click.command()
+@server_option
+@namespace_option
+@click.argument("resource", type=click.Choice(["job", "jobs"]))
+@click.argument("names", nargs=-1, required=True)
+@run
+async def delete(server: str, namespace: str, resource: str, names: tuple[str, ...]) -> None:
+    """Remove jobs; tasks that run are stopped."""
+    async with Client(server) as client:
+        for name in names:
+            await client.delete_job(namespace, name)
+            click.echo(f"job/{name} deleted")
+
+
+@click.command()
+@server_option
+@click.argument("machine")
+@run
+async def drain(server: str, machine: str) -> None:
+    """Let a machine take no new work from this placer; each placer is told by itself."""
+    async with Client(server) as client:
+        its = await client.set_unschedulable(machine, True)
+    click.echo(f"machine/{machine} {its.status.state if its.status else ''}")
+
+
+@click.command()
+@server_option
+@click.argument("machine")
+@run
+async def undrain(server: str, machine: str) -> None:
+    """Let a machine take work again."""
+    async with Client(server) as client:
+        its = await client.set_unschedulable(machine, False)
+    click.echo(f"machine/{machine} {its.status.state if its.status else ''}")
+
+
+# ---- Tables -----------------------------------------------------------------------------------------------
+
+
+def _table(resource: Resource, objects: list[Object], wide: bool) -> Table:
+    if resource is JOBS:
+        columns = ["NAME", "CLASS", "SERVICE", "PHASE", "TASKS", "PLACED", "REFUSED", "FAILED", "CREATED"]
+        table = plain_table(*(["NAMESPACE"] if wide else []), *columns)
+    else:
+        table = plain_table(
+            "NAME", "STATE", "KIND", "RACK", "ROOM", "CORES", "MEMORY", "FREE", "FREE MEM", "TASKS", "MESSAGE"
+        )
+    for obj in objects:
+        table.add_row(*_row(resource, obj, wide))
+    return table
+
+
+def _row(resource: Resource, obj: Object, wide: bool) -> list[str]:
+    metadata, spec, status = obj["metadata"], obj["spec"], obj["status"]
+    if resource is JOBS:
+        answers = [task.get("answer") for task in status["tasks"]]
+        row = [
+            metadata["name"],
+            spec["class"],
+            spec["service"],
+            status["phase"],
+            str(len(answers)),
+            *(str(answers.count(answer)) for answer in ("Placed", "Refused", "Failed")),
+            metadata["creationTimestamp"],
+        ]
+        return [metadata["namespace"], *row] if wide else row
+    free = status["free"]
+    return [
+        metadata["name"],
+        status["state"],
+        spec["kind"],
+        spec["rack"],
+        spec["room"],
+        f"{spec['cores']:g}",
+        f"{spec['memory']:g}",
+        f"{free.get('cores', 0):g}" if free else "-",
+        f"{free.get('memory', 0):g}" if free else "-",
+        str(status["tasks"]),
+        status.get("message", ""),
+    ]
+
+
+def _tasks_table(job: Object) -> Table:
+    table = plain_table("TASK", "STATE", "ANSWER", "MACHINE", "ATTEMPTS", "REASON")
+    for task in job["status"]["tasks"]:
+        table.add_row(
+            f"{job['metadata']['name']}/{task['index']}",
+            task["state"],
+            task.get("answer", ""),
+            task.get("machine", ""),
+            str(len(task["attempts"])),
+            task.get("reason", ""),
+        )
+    return table
--- /dev/null
+++ b/kelpfront/cli/serve.py
@@ -0,0 +1,133 @@
+"""`kelpfront serve` and `kelpfront machines`: the processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from kelpfront.cli.common import config_option, fail, load_config, set_option
+from kelpfront.config import Config
+from kelpfront.inventory import InventoryError
+
+
+@click.command()
+@config_option
+@set_option
+@click.option("--inventory", type=click.Path(path_type=Path), help="In place of the settings' inventory.")
+def serve(config_path: Path, overrides: tuple[str, ...], inventory: Path | None) -> None:
+    """Run a placer until SIGTERM or Ctrl-C.
+
+    It then takes no more jobs, answers those that it has, and ends with 0. The line with its URL goes to
+    standard output, the log to standard error.
+    """
+    from kelpfront.service.app import PlacerService, load_inventory
+    from kelpfront.service.logs import configure_logs
+
+    its = load_config(config_path, overrides)
+    path = inventory or config_path.parent / its.placer.inventory
+    its = its.model_copy(update={"placer": its.placer.model_copy(update={"inventory": str(path)})})
+    configure_logs(its.log.level, its.log.format, placer=its.placer.name)
+    try:
+        hosts = load_inventory(its)
+    except InventoryError as error:
+        fail(str(error))
+
+    async def run() -> None:
+        service = PlacerService(its, hosts)
+        await service.run(lambda started: click.echo(json.dumps({"url": started.url})))
+
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        fail(f"{its.placer.listen}: {error.strerror or error}")
+
+
+@click.command()
+@config_option
+@set_option
+@click.option("--inventory", type=click.Path(path_type=Path), help="In place of the settings' inventory.")
+@click.option("--room", "rooms", multiple=True, help="Only machines of this room; may be given again.")
+@click.option(
+    "--write-inventory",
+    type=click.Path(path_type=Path),
+    help="Serve on free ports of 127.0.0.1 and write an inventory with them.",
+)
+@click.option("--model", "model_text", default="{}", help="How the stand-ins behave, as JSON.")
+@click.option("--faults", "faults_path", type=click.Path(path_type=Path), help="Faults by time, as JSON.")
+@click.option("--record", type=click.Path(path_type=Path), help="Write what goes over the sockets here.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--cold", is_flag=True, help="They have just come up.")
+def machines(
+    config_path: Path,
+    overrides: tuple[str, ...],
+    inventory: Path | None,
+    rooms: tuple[str, ...],
+    write_inventory: Path | None,
+    model_text: str,
+    faults_path: Path | None,
+    record: Path | None,
+    seed: int,
+    cold: bool,
+) -> None:
+    """Run stand-in machines, for rehearsal: the real protocol, simulated tasks, scripted faults."""
+    from kelpfront.clock import CommonClock
+    from kelpfront.inventory import Inventory
+    from kelpfront.lab.fleet import Fault, Fleet, FleetModel
+    from kelpfront.lab.recording import Recorder
+    from kelpfront.lab.setup import write_csv
+    from kelpfront.service.app import load_inventory
+    from kelpfront.service.logs import configure_logs
+
+    its: Config = load_config(config_path, overrides)
+    path = inventory or config_path.parent / its.placer.inventory
+    its = its.model_copy(update={"placer": its.placer.model_copy(update={"inventory": str(path)})})
+    configure_logs(its.log.level, its.log.format)
+    try:
+        hosts = [host for host in load_inventory(its).hosts.values() if not rooms or host.room in rooms]
+        model = msgspec.json.decode(model_text, type=FleetModel)
+        faults = (
+            [] if faults_path is None else msgspec.json.decode(faults_path.read_bytes(), type=list[Fault])
+        )
+    except InventoryError as error:
+        fail(str(error))
+    except msgspec.DecodeError as error:
+        fail(f"--model or --faults: {error}")
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        recorder = Recorder("machines", record)
+        fleet = Fleet(its, hosts, model, seed, CommonClock().now, recorder)
+        ports = None
+        if write_inventory is None:
+            ports = {host.name: int(host.address.rpartition(":")[2]) for host in hosts}
+        addressed = await fleet.start(ports, cold)
+        if write_inventory is not None:
+            write_csv(write_inventory, Inventory("", {host.name: host for host in addressed}))
+        click.echo(json.dumps({"machines": len(addressed)}))
+        sys.stdout.flush()
+        # The faults' clock starts with a line on standard input, or at once where there is none to come.
+        if faults and not sys.stdin.isatty():
+            await asyncio.to_thread(sys.stdin.readline)
+        fleet.play(faults)
+        while not stop.is_set():
+            recorder.flush()
+            try:
+                await asyncio.wait_for(stop.wait(), 0.5)
+            except TimeoutError:
+                continue
+        fleet.close()
+        recorder.close()
+
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        fail(f"machines: {error.strerror or error}")
--- /dev/null
+++ b/kelpfront/client/__init__.py
@@ -0,0 +1,29 @@
+"""The client library: submit work, wait for its answers, list and watch.
+
+```python
+from kelpfront.client import Client, JobSpec
+
+async with Client("http://127.0.0.1:8140") as client:
+    job = await client.submit("climate", JobSpec(class_="web", service="front", cores=1, memory=2))
+    job = await client.wait_answers(job)
+```
+"""
+
+from kelpfront.api.errors import ApiError
+from kelpfront.api.jobs import Answer, Job, JobSpec, Task, TaskState
+from kelpfront.api.machines import Machine
+from kelpfront.client.client import Client, ServerUnreachableError
+from kelpfront.client.informer import Event
+
+__all__ = [
+    "Answer",
+    "ApiError",
+    "Client",
+    "Event",
+    "Job",
+    "JobSpec",
+    "Machine",
+    "ServerUnreachableError",
+    "Task",
+    "TaskState",
+]
--- /dev/null
+++ b/kelpfront/client/client.py
@@ -0,0 +1,282 @@
+"""The client of the REST API, for asyncio."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from types import TracebackType
+from typing import Any
+from urllib.parse import quote, urlencode, urlsplit
+
+import msgspec
+
+from kelpfront.api.errors import ApiError
+from kelpfront.api.jobs import Job, JobSpec
+from kelpfront.api.machines import Machine
+from kelpfront.api.meta import API_VERSION, JOBS, MACHINES, Object, Resource
+from kelpfront.backoff import Backoff
+from kelpfront.client.informer import Event, Informer, status_error
+from kelpfront.http.client import HttpConnection, HttpError, HttpPool, NotSentError, Reply
+
+CONNECTIONS = 64  # for requests; each watch has one of its own besides
+CONNECT_S = 5.0
+SILENT_S = 60.0  # a watch that hears nothing for so long, not even a bookmark, is cut
+PAGE = 500
+
+
+class ServerUnreachableError(Exception):
+    """No answer came. `may_have_arrived` is False where it is certain that the request was not sent."""
+
+    def __init__(self, message: str, may_have_arrived: bool) -> None:
+        super().__init__(message)
+        self.may_have_arrived = may_have_arrived
+
+
+class Client:
+    """To one placer.
+
+    Methods raise ApiError where the server answers with an error, ServerUnreachableError where it does not
+    answer at all.
+    """
+
+    def __init__(self, url: str, *, request_s: float = 30.0, seed: int | None = None) -> None:
+        parts = urlsplit(url)
+        if parts.scheme != "http" or not parts.hostname:
+            raise ValueError(f"{url!r} is not http://HOST:PORT")
+        self.url = url
+        self._host, self._port = parts.hostname, parts.port or 80
+        self._path = parts.path.rstrip("/")
+        self._request_s = request_s
+        self._rng = random.Random(seed)
+        self._pool = HttpPool(self._host, self._port, CONNECTIONS, CONNECT_S)
+
+    async def __aenter__(self) -> Client:
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        self._pool.close()
+
+    # ---- Jobs -----------------------------------------------------------------------------------------
+
+    async def submit(
+        self,
+        namespace: str,
+        spec: JobSpec,
+        *,
+        name: str | None = None,
+        labels: dict[str, str] | None = None,
+        annotations: dict[str, str] | None = None,
+    ) -> Job:
+        """Hands over a job. With a clientToken in the spec, doing so again finds the same job."""
+        metadata: Object = {"name": name} if name else {}
+        if labels:
+            metadata["labels"] = labels
+        if annotations:
+            metadata["annotations"] = annotations
+        body = {"metadata": metadata, "spec": spec.model_dump(by_alias=True, exclude_none=True)}
+        return Job.model_validate(await self.create(JOBS, namespace, body))
+
+    async def get_job(self, namespace: str, name: str) -> Job:
+        return Job.model_validate(await self.read(JOBS, namespace, name))
+
+    async def list_jobs(self, namespace: str | None = None, **selectors: str) -> list[Job]:
+        """All jobs of a namespace, or of all of them; `label_selector` and `field_selector` choose."""
+        items, _ = await self.list_objects(JOBS, namespace, **selectors)
+        return [Job.model_validate(item) for item in items]
+
+    async def delete_job(self, namespace: str, name: str) -> None:
+        """Removes a job and withdraws its tasks."""
+        await self.request("DELETE", self.path(JOBS, namespace, name))
+
+    async def wait_answers(self, job: Job, *, timeout_s: float | None = None) -> Job:
+        """The job once each of its tasks has its answer; ApiError 404 if it is gone.
+
+        The default time-out is the job's patience and some seconds.
+        """
+        namespace, name = job.metadata.namespace or "", job.metadata.name or ""
+        async with asyncio.timeout(timeout_s):
+            async for event in self.watch(JOBS, namespace, field_selector=f"metadata.name={name}"):
+                if event.kind == "DELETED":
+                    raise ApiError(404, f'job "{name}" was deleted', resource=JOBS, name=name)
+                if event.object["status"]["answered"] == len(event.object["status"]["tasks"]):
+                    return Job.model_validate(event.object)
+        raise AssertionError("a watch does not end by itself")
+
+    # ---- Machines -------------------------------------------------------------------------------------
+
+    async def list_machines(self, **selectors: str) -> list[Machine]:
+        items, _ = await self.list_objects(MACHINES, None, **selectors)
+        return [Machine.model_validate(item) for item in items]
+
+    async def set_unschedulable(self, machine: str, on: bool) -> Machine:
+        """Drains a machine, or lets it take work again."""
+        patched = await self.patch(MACHINES, None, machine, {"spec": {"unschedulable": on}})
+        return Machine.model_validate(patched)
+
+    # ---- Any resource ---------------------------------------------------------------------------------
+
+    def path(self, resource: Resource, namespace: str | None = None, name: str = "") -> str:
+        path = f"/apis/{API_VERSION}"
+        if namespace is not None and resource.namespaced:
+            path += f"/namespaces/{quote(namespace, safe='')}"
+        path += f"/{resource.plural}"
+        return f"{path}/{quote(name, safe='')}" if name else path
+
+    async def create(self, resource: Resource, namespace: str | None, body: Object) -> Object:
+        return await self.request("POST", self.path(resource, namespace), body)
+
+    async def read(self, resource: Resource, namespace: str | None, name: str) -> Object:
+        return await self.request("GET", self.path(resource, namespace, name))
+
+    async def patch(self, resource: Resource, namespace: str | None, name: str, patch: Object) -> Object:
+        """JSON merge patch."""
+        kind = "application/merge-patch+json"
+        return await self.request("PATCH", self.path(resource, namespace, name), patch, content_type=kind)
+
+    async def list_objects(
+        self,
+        resource: Resource,
+        namespace: str | None = None,
+        label_selector: str = "",
+        field_selector: str = "",
+    ) -> tuple[list[Object], str]:
+        """All objects, got in parts, and the revision that they together show."""
+        query = _selectors(label_selector, field_selector) | {"limit": str(PAGE)}
+        items: list[Object] = []
+        while True:
+            page = await self.request("GET", f"{self.path(resource, namespace)}?{urlencode(query)}")
+            items += page["items"]
+            token = page["metadata"].get("continue")
+            if not token:
+                return items, page["metadata"]["resourceVersion"]
+            query["continue"] = token
+
+    async def watch(
+        self,
+        resource: Resource,
+        namespace: str | None = None,
+        label_selector: str = "",
+        field_selector: str = "",
+    ) -> AsyncIterator[Event]:
+        """What is there, then every change, for as long as it is read.
+
+        A cut is resumed behind the last event; where the server no longer has that history the list is got
+        anew and the changes worked out. Errors that trying again cannot mend are raised.
+        """
+        informer = Informer()
+        backoff = Backoff(self._rng)
+        selectors = _selectors(label_selector, field_selector)
+        while True:
+            try:
+                if informer.revision is None:
+                    items, revision = await self.list_objects(
+                        resource, namespace, label_selector, field_selector
+                    )
+                    for event in informer.listed(items, revision):
+                        yield event
+                backoff.worked()
+                async for data in self._watch_lines(resource, namespace, selectors, informer):
+                    event_ = informer.line(data)
+                    if event_ is not None:
+                        yield event_
+                continue  # the server ended it, as it does after a while
+            except ApiError as error:
+                if error.code == 410:
+                    continue
+                if error.code not in (429, 500, 503, 504):
+                    raise
+                pause = max(error.retry_after_s * 1000.0, backoff.failed())
+            except (ServerUnreachableError, TimeoutError):
+                pause = backoff.failed()
+            await asyncio.sleep(pause / 1000.0)
+
+    async def _watch_lines(
+        self, resource: Resource, namespace: str | None, selectors: dict[str, str], informer: Informer
+    ) -> AsyncIterator[Any]:
+        query = selectors | {
+            "watch": "true",
+            "allowWatchBookmarks": "true",
+            "resourceVersion": informer.revision or "",
+        }
+        target = f"{self._path}{self.path(resource, namespace)}?{urlencode(query)}"
+        decode = msgspec.json.Decoder().decode
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                connection = await HttpConnection.open(self._host, self._port)
+            try:
+                async with asyncio.timeout(SILENT_S):
+                    status, _, pieces = await connection.stream("GET", target)
+                iterator = pieces.__aiter__()
+                rest = b""
+                while True:
+                    try:
+                        async with asyncio.timeout(SILENT_S):
+                            piece = await anext(iterator)
+                    except StopAsyncIteration:
+                        break
+                    *lines, rest = (rest + piece).split(b"\n")
+                    if status != 200:
+                        rest = b"\n".join([*lines, rest])
+                        continue
+                    for line in lines:
+                        yield decode(line)
+                if status != 200:
+                    raise status_error(_decoded(rest))
+            finally:
+                connection.abort()
+        except HttpError as error:
+            raise ServerUnreachableError(str(error), True) from None
+
+    async def request(
+        self, method: str, path: str, body: Object | None = None, *, content_type: str = "application/json"
+    ) -> Object:
+        """One request's JSON answer; ApiError for an error's."""
+        raw = b"" if body is None else msgspec.json.encode(body)
+        headers = (("accept", "application/json"), ("content-type", content_type))
+        reply = await self._exchange(method, self._path + path, raw, headers if raw else headers[:1])
+        data = _decoded(reply.body)
+        if reply.status >= 400:
+            raise status_error(data)
+        answer: Object = data
+        return answer
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
+    ) -> Reply:
+        sent = False
+        try:
+            async with asyncio.timeout(self._request_s):
+                connection = await self._pool.acquire()
+                try:
+                    sent = True
+                    return await connection.request(method, target, body, headers)
+                finally:
+                    self._pool.release(connection)
+        except NotSentError as error:
+            raise ServerUnreachableError(str(error), False) from None
+        except HttpError as error:
+            raise ServerUnreachableError(str(error), True) from None
+        except TimeoutError:
+            raise ServerUnreachableError(f"no answer within {self._request_s:g} s", sent) from None
+
+
+def _selectors(labels: str, fields: str) -> dict[str, str]:
+    query = {}
+    if labels:
+        query["labelSelector"] = labels
+    if fields:
+        query["fieldSelector"] = fields
+    return query
+
+
+def _decoded(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        raise ApiError(500, f"the server's answer is not JSON: {body[:100]!r}") from None
