--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -155,6 +155,7 @@
     ) -> Stored:
         """Takes a job: from here on each of its tasks is owed one answer. ApiError where it is not taken."""
         self.check_spec(name, spec)
+        self.store.check_new(JOBS, (namespace, name))
         if self._open_tasks + spec.count > self.limits.open_tasks:
             raise ApiError(
                 429,
--- a/kelpfront/store/resources.py
+++ b/kelpfront/store/resources.py
@@ -123,11 +123,15 @@
                 "apply the change to the latest version and try again",
             )
 
-    def create(self, resource: Resource, key: Key, body: Object, weight: int = 1) -> Stored:
+    def check_new(self, resource: Resource, key: Key) -> None:
+        """ApiError where `create` would not take an object of this key."""
         if key in self._tables[resource.plural].objects:
             raise already_exists(resource, key[1])
         if sum(len(table.objects) for table in self._tables.values()) >= self.limits.objects:
             raise ApiError(429, f"the store holds its most of {self.limits.objects} objects", retry_after_s=1)
+
+    def create(self, resource: Resource, key: Key, body: Object, weight: int = 1) -> Stored:
+        self.check_new(resource, key)
         return self._write(resource, key, body, weight)
 
     def update(self, resource: Resource, key: Key, body: Object, weight: int = 1) -> Stored:
--- a/tests/test_heart.py
+++ b/tests/test_heart.py
@@ -343,6 +343,17 @@
         driver.submit("e")
 
 
+def test_a_job_that_is_not_taken_leaves_nothing_behind() -> None:
+    driver = HeartDriver()
+    first = driver.submit()
+    with pytest.raises(ApiError):
+        driver.submit()
+    driver.advance(10_000.0)
+    assert driver.job()["metadata"]["uid"] == first["metadata"]["uid"]
+    assert len(driver.heart._tasks) + len(driver.heart._numbers) <= 2
+    assert {sent.offer.task for sent in driver.of(SendOffer)} == {first["status"]["tasks"][0]["uid"]}
+
+
 def test_a_token_finds_its_job() -> None:
     driver = HeartDriver()
     driver.submit("a", clientToken="t")
