--- /dev/null
+++ b/kelpfront/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m kelpfront`."""
+
+from kelpfront.cli import main
+
+main()
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,67 @@
+"""A TCP forwarder between a client and a server that cuts connections when told, or after some bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+
+class Proxy:
+    """Forwards to a port; `cut_after` is how many bytes each new connection brings back before it breaks."""
+
+    def __init__(self, port: int) -> None:
+        self._to = port
+        self.cut_after: int | None = None
+        self.connections = 0
+        self._open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._forward, "127.0.0.1", 0)
+        self.port = int(self._server.sockets[0].getsockname()[1])
+        self.url = f"http://127.0.0.1:{self.port}"
+
+    def cut(self) -> None:
+        """Breaks all connections now."""
+        for writer in self._open:
+            writer.transport.abort()
+
+    async def close(self) -> None:
+        self._server.close()
+        self.cut()
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._open.add(writer)
+        with contextlib.suppress(OSError):
+            back_reader, back_writer = await asyncio.open_connection("127.0.0.1", self._to)
+            back = asyncio.create_task(self._pump(back_reader, writer, self.cut_after))
+            await self._pump(reader, back_writer, None)
+            back_writer.transport.abort()
+            back.cancel()
+        writer.transport.abort()
+        self._open.discard(writer)
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, most: int | None
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(4096):
+                if most is not None:
+                    data, most = data[:most], most - len(data)
+                writer.write(data)
+                await writer.drain()
+                if most is not None and most <= 0:
+                    writer.transport.abort()
+                    return
+
+
+@asynccontextmanager
+async def proxy(port: int) -> AsyncIterator[Proxy]:
+    its = Proxy(port)
+    await its.start()
+    try:
+        yield its
+    finally:
+        await its.close()
