--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -21,6 +21,7 @@
 from kelpfront.machine.server import STATUS_OF_ANSWER, MachineServer
 
 USE_PERIOD_S = 0.5
+LEFT_KEPT = 1000  # offers whose placers have left, so that each is told of once
 NOTE_CHANGE = 0.1  # of what was told before: smaller changes of use are not told
 TOLD_WELL = 0.95  # of full service: above this nothing is told of how a task is served
 
@@ -58,6 +59,7 @@
     """What is wrong with a stand-in at present."""
 
     silent: bool = False  # takes connections and requests, answers nothing, streams nothing
+    mute: bool = False  # answers, but its streams tell nothing
     late_ms: float = 0.0  # answers to offers wait for so long after they are known
     reset_share: float = 0.0  # of answers that are lost with their connection
     failing: dict[str, tuple[float, str]] = field(default_factory=dict)  # class: share, "error" or "silence"
@@ -76,6 +78,15 @@
         standin, offer = self._standin, offered.offer
         standin.offered(offered)
         key = offer.task, offer.attempt
+        forget = request.peer.on_change(lambda: standin.left(*key))
+        try:
+            return await self._answer_offer(offered, request)
+        finally:
+            forget()
+
+    async def _answer_offer(self, offered: OfferRequest, request: Request) -> Response:
+        standin, offer = self._standin, offered.offer
+        key = offer.task, offer.attempt
         if (refusal := standin.says_full(offer.cls)) is not None:
             answer = refusal
         else:
@@ -103,9 +114,6 @@
         await self._standin.until_heard()
         return response
 
-    def abandoned(self, key: tuple[str, int]) -> None:
-        self._standin.record("left", task=key[0], attempt=key[1])
-
     def heartbeat(self) -> Heartbeat:
         return self._standin.lagging(super().heartbeat())
 
@@ -119,6 +127,8 @@
     async def _lines(self, placer, first, wake, request, stop_watching) -> AsyncIterator[bytes]:  # type: ignore[no-untyped-def]
         async for chunk in super()._lines(placer, first, wake, request, stop_watching):
             await self._standin.until_heard()
+            while self._standin.troubles.mute:  # noqa: ASYNC110 - a test's or script's switch
+                await asyncio.sleep(0.02)
             yield chunk
 
 
@@ -147,6 +157,7 @@
         self._offers: deque[float] = deque()
         self._beats: deque[tuple[float, Heartbeat]] = deque(maxlen=4096)
         self._class_offers: dict[str, deque[float]] = {}
+        self._left: dict[tuple[str, int], None] = {}
         self._timers: dict[asyncio.TimerHandle, None] = {}
         self._use: dict[str, tuple[float, float]] = {}
         self._told_use: dict[str, tuple[float, float]] = {}
@@ -295,6 +306,14 @@
             self.fallen = True
             asyncio.get_running_loop().call_soon(self.crash, "fell over")
 
+    def left(self, task: str, attempt: int) -> None:
+        """A placer no longer waits for the answer to an offer."""
+        if (task, attempt) not in self._left:
+            self._left[task, attempt] = None
+            self.record("left", task=task, attempt=attempt)
+            while len(self._left) > LEFT_KEPT:
+                del self._left[next(iter(self._left))]
+
     def says_full(self, cls: str) -> Answer | None:
         """Where a class is turned away above a rate though there is room."""
         rate = self.troubles.full.get(cls)
--- a/kelpfront/machine/server.py
+++ b/kelpfront/machine/server.py
@@ -150,13 +150,9 @@
         future.cancel()
         if not waiting:
             self._answers.pop(key, None)
-            self.abandoned(key)
             self.node.abandon(self._now(), *key)
             self.changed()
 
-    def abandoned(self, key: tuple[str, int]) -> None:
-        """A hook: the last connection that waited for this offer's answer has gone."""
-
     # ---- The stream -----------------------------------------------------------------------------------
 
     def open_stream(self, request: Request) -> Response:
--- a/kelpfront/service/links.py
+++ b/kelpfront/service/links.py
@@ -215,5 +215,7 @@
             case Taken(seq) | Gone(seq):
                 if seq < self._next_seq:
                     return  # told before the break
+                if seq > self._next_seq:
+                    raise ValueError(f"message {seq} came where {self._next_seq} was expected")
                 self._next_seq = seq + 1
         self._heart.stream_message(self._now(), self.host, message)
