--- a/kelpfront/api/jobs.py
+++ b/kelpfront/api/jobs.py
@@ -108,6 +108,11 @@
     uid: str
     state: TaskState
     answer: Answer | None = Field(None, description="Set once, never changed.")
+    found: bool = Field(
+        False,
+        description="It turned out to run: after it was failed, or when its placer had started anew. "
+        "Then the answer is the one given before, or none of this start of the placer.",
+    )
     machine: str | None = Field(None, description="Where it is or was placed.")
     reason: str | None = Field(None, description="Why it was refused, failed or lost.")
     retry_after: str | None = Field(None, description="Of a refusal: how long to stay away.")
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -2,13 +2,65 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import sys
+from pathlib import Path
+
 import click
 
+from kelpfront.cli.common import fail
+
 
 @click.command("bad-day")
-def bad_day() -> None:
-    """Not here yet."""
-    raise click.ClickException("not here yet")
+@click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
+@click.option("--placers", default=4, show_default=True)
+@click.option("--machines", default=24, show_default=True)
+@click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
+@click.option("--seconds", default=40.0, show_default=True, help="How long work comes in.")
+@click.option("--quiet-day", is_flag=True, help="Nothing goes wrong: for measuring.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.option(
+    "--keep", type=click.Path(path_type=Path), help="Leave the recording and the logs in this folder."
+)
+def bad_day(
+    seed: int,
+    placers: int,
+    machines: int,
+    rate: float,
+    seconds: float,
+    quiet_day: bool,
+    as_json: bool,
+    keep: Path | None,
+) -> None:
+    """Play a scripted bad day on loopback and judge it by the five rules.
+
+    Placers, stand-in machines and owners run as processes of their own. What goes over the sockets on the
+    machines' and owners' side is recorded, and judged from that alone. Exit code 1 if a rule was broken or a
+    task was left without its answer.
+    """
+    from kelpfront.lab.badday import play
+    from kelpfront.lab.script import DayShape
+    from kelpfront.service.logs import configure_logs
+
+    try:
+        import hdrh  # noqa: F401
+    except ImportError:
+        fail("the laboratory needs more packages: pip install 'kelpfront[lab]'")
+    configure_logs("warning", "auto")
+    shape = DayShape(seed, placers, machines, rate, seconds)
+    interactive = sys.stderr.isatty() or not as_json
+
+    def say(text: str) -> None:
+        if interactive:
+            click.echo(text, err=True)
+
+    verdict, figures = asyncio.run(play(shape, keep, quiet=quiet_day, say=say))
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    for violation in verdict.violations[:20]:
+        click.echo(f"{violation.rule}: {violation.text}", err=True)
+    if verdict.violations or verdict.without_final or any(figures["exit_codes"]):
+        raise SystemExit(1)
 
 
 @click.command()
--- /dev/null
+++ b/kelpfront/lab/badday.py
@@ -0,0 +1,446 @@
+"""The director of a bad day: placers, stand-ins and owners as processes on loopback, a script, a verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from kelpfront.client import Client, ServerUnreachableError
+from kelpfront.config import Config
+from kelpfront.config.reader import parse_config
+from kelpfront.inventory import Host, Inventory, KindSize, read_inventory
+from kelpfront.lab.checker import Figures, Verdict, check
+from kelpfront.lab.fleet import FleetModel
+from kelpfront.lab.owners import ClassShape, OwnersTask
+from kelpfront.lab.recording import Recorder, read_recordings
+from kelpfront.lab.script import BadDay, DayShape, Drain, PlacerFault, bad_day, room_of_placer
+from kelpfront.lab.setup import make_hosts, write_csv
+
+log = structlog.get_logger("kelpfront.lab")
+
+ROOMS = ("hall-a", "hall-b", "hall-c")
+OWNERS_RATE = 60.0  # tasks a second for one process of owners
+UP_WITHIN_S = 60.0
+END_WITHIN_S = 30.0
+
+SETTINGS = """
+[cluster]
+rooms = hall-a, hall-b, hall-c
+mean_cores = 1.2
+mean_memory = 2.0
+accepts_cores = 2.0
+accepts_memory = 1.5
+pushes_out = yes
+[rules]
+cold_from = 0.25
+cold_for = 10 s
+cold_multiple = 2.5
+cold_window = 2 s
+cold_offers = 30
+[log]
+level = warning
+format = json
+[kind small]
+cores = 24
+memory = 48
+[kind large]
+cores = 48
+memory = 96
+[class web]
+effect = safe
+aim = 1 s
+deadline = 5 s
+worth = 1
+start_worth = 10 s
+calm = 1.0
+fade = 1.0
+[class ingest]
+effect = keyed
+group = room
+window = 8 s
+aim = 700 ms
+deadline = 5 s
+worth = 3
+start_worth = 8 s
+priority = 2
+apart = rack
+together = 4
+calm = 0.8
+[class blend]
+effect = unsafe
+aim = 600 ms
+deadline = 8 s
+worth = 2
+start_worth = 12 s
+priority = 2
+calm = 0.8
+"""
+SIZES = ((0.5, 1.0), (1.0, 2.0), (2.0, 3.0))
+
+
+class Process:
+    """A child of the day: its first line of output says that it is up."""
+
+    def __init__(self, name: str, *args: str, log_to: Path) -> None:
+        self.name, self._args, self._log_to = name, args, log_to
+        self.cpu_s = 0.0
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self, data: bytes | None = None) -> None:
+        with self._log_to.open("ab") as errors:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *self._args,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+            )
+        if data is not None:
+            assert self._process.stdin is not None
+            self._process.stdin.write(data)
+            self._process.stdin.close()
+
+    async def line(self) -> Any:
+        assert self._process is not None and self._process.stdout is not None
+        async with asyncio.timeout(UP_WITHIN_S):
+            line = await self._process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{self.name} ended: {self._log_to.read_text()[-2000:]}")
+        return msgspec.json.decode(line)
+
+    def go(self) -> None:
+        """A line on standard input: the day begins."""
+        assert self._process is not None and self._process.stdin is not None
+        self._process.stdin.write(b"go\n")
+
+    def cpu_now(self) -> float:
+        """CPU seconds of this life so far."""
+        if self._process is None or self._process.returncode is not None:
+            return 0.0
+        try:
+            fields = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def kill(self) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self.cpu_s += self.cpu_now()
+            with contextlib.suppress(ProcessLookupError):
+                self._process.kill()
+
+    async def end(self) -> int:
+        """SIGTERM, and the exit code; killed where it does not end."""
+        if self._process is None:
+            return 0
+        self.cpu_s += self.cpu_now()
+        if self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.terminate()
+        return await self.wait(END_WITHIN_S)
+
+    async def wait(self, within_s: float) -> int:
+        assert self._process is not None
+        try:
+            async with asyncio.timeout(within_s):
+                return await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+            return -9
+
+
+class Placer:
+    """A placer over its lives, on one port."""
+
+    def __init__(self, number: int, count: int, work: Path) -> None:
+        self.number, self.name = number, f"placer-{number}"
+        self._count, self._work = count, work
+        self._listen = "127.0.0.1:0"
+        self.url = ""
+        self.process: Process | None = None
+        self.cpu_s = 0.0
+
+    async def start(self) -> None:
+        self.process = Process(
+            self.name,
+            "kelpfront",
+            "serve",
+            "-c",
+            str(self._work / "cluster.ini"),
+            "--set",
+            f"placer.name={self.name}",
+            "--set",
+            f"placer.number={self.number}",
+            "--set",
+            f"placer.room={room_of_placer(self.number, ROOMS)}",
+            "--set",
+            f"placer.listen={self._listen}",
+            "--set",
+            f"cluster.placers={self._count}",
+            log_to=self._work / f"{self.name}.log",
+        )
+        await self.process.start()
+        self.url = (await self.process.line())["url"]
+        self._listen = self.url.removeprefix("http://")
+
+    async def ready(self) -> None:
+        async with asyncio.timeout(UP_WITHIN_S), Client(self.url) as client:
+            while True:
+                with contextlib.suppress(ServerUnreachableError, Exception):
+                    reply = await client._exchange("GET", "/readyz", b"", ())
+                    if reply.status == 200:
+                        return
+                await asyncio.sleep(0.05)
+
+    async def kill(self) -> None:
+        assert self.process is not None
+        self.process.kill()
+        self.cpu_s += self.process.cpu_s
+        await self.process.wait(END_WITHIN_S)
+
+
+class Day:
+    """One day in one folder. `run` plays it and gives the verdict and the figures."""
+
+    def __init__(
+        self,
+        shape: DayShape,
+        work: Path,
+        model: FleetModel | None = None,
+        quiet: bool = False,
+        say: Callable[[str], None] = lambda text: None,
+    ) -> None:
+        self.shape, self.work, self._say = shape, work, say
+        self.model = model or FleetModel()
+        self.config: Config = parse_config(SETTINGS, "the bad day's settings")
+        kinds = [(name, kind.cores, kind.memory) for name, kind in self.config.kinds.items()]
+        self.hosts = make_hosts(shape.machines, ROOMS, kinds)
+        script = bad_day(shape, self.hosts, ROOMS)
+        self.script = BadDay((), (), (), ()) if quiet else script
+        self.placers = [Placer(number, shape.placers, work) for number in range(shape.placers)]
+        self._fleets: list[Process] = []
+        self._owners: list[Process] = []
+        self._recorder = Recorder("director", work / "director.jsonl")
+
+    async def run(self) -> tuple[Verdict, dict[str, Any]]:
+        began = time.monotonic()
+        try:
+            await self._set_up()
+            self._say(f"{self.shape.machines} machines and {self.shape.placers} placers are up")
+            told = await self._play()
+            codes = await asyncio.gather(*(self._end_placer(placer) for placer in self.placers))
+        finally:
+            for placer in self.placers:
+                if placer.process is not None:
+                    placer.process.kill()
+            await asyncio.gather(*(fleet.end() for fleet in self._fleets))
+            for owners in self._owners:
+                owners.kill()
+            self._recorder.close()
+        self._say("judging")
+        paths = sorted(self.work.glob("*.jsonl"))
+        verdict = check(read_recordings(paths), Figures.of(self.config))
+        figures = self._figures(verdict, told, codes)
+        figures["wall_s"] = round(time.monotonic() - began, 1)
+        return verdict, figures
+
+    # ---- Set-up ---------------------------------------------------------------------------------------
+
+    async def _set_up(self) -> None:
+        (self.work / "cluster.ini").write_text(SETTINGS)
+        (self.work / "faults.json").write_bytes(msgspec.json.encode(self.script.faults))
+        rooms = [room for room in ROOMS if any(host.room == room for host in self.hosts)]
+        for room in rooms:
+            hosts = {host.name: _with_address(host) for host in self.hosts if host.room == room}
+            write_csv(self.work / f"{room}-plan.csv", Inventory("", hosts))
+            fleet = Process(
+                f"machines {room}",
+                "kelpfront",
+                "machines",
+                "-c",
+                str(self.work / "cluster.ini"),
+                "--inventory",
+                str(self.work / f"{room}-plan.csv"),
+                "--write-inventory",
+                str(self.work / f"{room}.csv"),
+                "--model",
+                msgspec.json.encode(self.model).decode(),
+                "--faults",
+                str(self.work / "faults.json"),
+                "--record",
+                str(self.work / f"machines-{room}.jsonl"),
+                "--seed",
+                str(self.shape.seed),
+                log_to=self.work / f"machines-{room}.log",
+            )
+            self._fleets.append(fleet)
+            await fleet.start()
+        await asyncio.gather(*(fleet.line() for fleet in self._fleets))
+        kinds = {name: KindSize(kind.cores, kind.memory) for name, kind in self.config.kinds.items()}
+        hosts = {}
+        for room in rooms:
+            hosts |= read_inventory(self.work / f"{room}.csv", kinds)[0].hosts
+        write_csv(self.work / "inventory.csv", Inventory("", dict(sorted(hosts.items()))))
+        for start in range(0, len(self.placers), 8):
+            await asyncio.gather(*(placer.start() for placer in self.placers[start : start + 8]))
+        await asyncio.gather(*(placer.ready() for placer in self.placers))
+
+    # ---- The day --------------------------------------------------------------------------------------
+
+    async def _play(self) -> list[Any]:
+        shape = self.shape
+        count = max(1, min(8, round(shape.rate / OWNERS_RATE)))
+        loop = asyncio.get_running_loop()
+        for number in range(count):
+            task = OwnersTask(
+                shape.seed,
+                f"owner-{number}",
+                tuple(placer.url for placer in self.placers),
+                tuple(placer.name for placer in self.placers),
+                shape.rate / count,
+                shape.seconds,
+                self._classes(),
+                self.script.jumps,
+                str(self.work / f"owner-{number}.jsonl"),
+            )
+            owners = Process(
+                f"owner-{number}", "kelpfront.lab.owners", log_to=self.work / f"owner-{number}.log"
+            )
+            self._owners.append(owners)
+            await owners.start(msgspec.json.encode(task))
+        for fleet in self._fleets:
+            fleet.go()
+        began = loop.time()
+        acts = [asyncio.create_task(self._placer_fault(fault)) for fault in self.script.placer_faults]
+        acts += [asyncio.create_task(self._drain(drain)) for drain in self.script.drains]
+        lines = [asyncio.create_task(owners.line()) for owners in self._owners]
+        longest = shape.seconds + 60.0
+        while not all(line.done() for line in lines) and loop.time() < began + longest:
+            await asyncio.wait(lines, timeout=max(1.0, shape.seconds / 10))
+            self._say(f"{min(loop.time() - began, shape.seconds):.0f} of {shape.seconds:g} s")
+        await asyncio.gather(*acts)
+        return [await line for line in lines]
+
+    def _classes(self) -> tuple[ClassShape, ...]:
+        per = max(3, round(self.shape.rate * 2))
+        return tuple(
+            ClassShape(name, section.effect, share, section.deadline, per, SIZES, counts)
+            for (name, section), share, counts in zip(
+                self.config.classes.items(), (0.4, 0.35, 0.25), ((1, 1, 2), (1,), (1,)), strict=True
+            )
+        )
+
+    async def _placer_fault(self, fault: PlacerFault) -> None:
+        await asyncio.sleep(fault.at_s)
+        placer = self.placers[fault.placer]
+        self._recorder.write("placer-killed", placer=placer.name)
+        await placer.kill()
+        await asyncio.sleep(fault.for_s)
+        self._recorder.write("placer-up", placer=placer.name)
+        await placer.start()
+
+    async def _drain(self, drain: Drain) -> None:
+        """An operator goes from placer to placer, as each has to be told by itself."""
+        await asyncio.sleep(drain.at_s)
+        await asyncio.gather(*(self._drain_at(placer, drain.hosts, True) for placer in self.placers))
+        await asyncio.sleep(drain.for_s)
+        await asyncio.gather(*(self._drain_at(placer, drain.hosts, False) for placer in self.placers))
+
+    async def _drain_at(self, placer: Placer, hosts: Sequence[str], on: bool) -> None:
+        async with Client(placer.url) as client:
+            for host in hosts:
+                if not on:  # told before it is asked: an offer may go out before the answer is back
+                    self._recorder.write("drain-asked", placer=placer.name, machine=host, on=False)
+                try:
+                    await client.set_unschedulable(host, on)
+                except Exception as error:
+                    log.warning("drain not told", placer=placer.name, machine=host, error=str(error))
+                    continue
+                if on:
+                    self._recorder.write("drain-asked", placer=placer.name, machine=host, on=True)
+
+    async def _end_placer(self, placer: Placer) -> int:
+        assert placer.process is not None
+        code = await placer.process.end()
+        placer.cpu_s += placer.process.cpu_s
+        return code
+
+    # ---- Figures --------------------------------------------------------------------------------------
+
+    def _figures(self, verdict: Verdict, told: list[Any], codes: Sequence[int]) -> dict[str, Any]:
+        shape = self.shape
+        return {
+            "seed": shape.seed,
+            "placers": shape.placers,
+            "machines": shape.machines,
+            "rate": shape.rate,
+            "seconds": shape.seconds,
+            "tasks": verdict.tasks,
+            "final": dict(verdict.final),
+            "without_final": verdict.without_final,
+            "held_when_killed": verdict.held_when_killed,
+            "withdrawn": verdict.withdrawn,
+            "rejected": sum(owner["rejected"] for owner in told),
+            "offers": verdict.offers,
+            "starts": verdict.starts,
+            "violations": verdict.by_rule(),
+            "submitted_per_s": round(verdict.tasks / shape.seconds, 1),
+            "latency_ms": latencies(verdict.latencies_ms),
+            "cpu_s": {placer.name: round(placer.cpu_s, 2) for placer in self.placers},
+            "exit_codes": sorted(set(codes)),
+        }
+
+
+def latencies(values: Sequence[float]) -> dict[str, float]:
+    """p50, p99 and the most, in milliseconds."""
+    from hdrh.histogram import HdrHistogram
+
+    histogram = HdrHistogram(1, 60 * 60 * 1000 * 1000, 3)
+    for value in values:
+        histogram.record_value(max(1, round(value * 1000)))
+    found = {"p50": histogram.get_value_at_percentile(50), "p99": histogram.get_value_at_percentile(99)}
+    return {
+        **{name: round(value / 1000, 1) for name, value in found.items()},
+        "max": round(max(values, default=0.0), 1),
+    }
+
+
+def _with_address(host: Host) -> Host:
+    return Host(host.name, host.kind, host.rack, host.room, host.cores, host.memory, f"http://{host.name}:1")
+
+
+async def play(
+    shape: DayShape,
+    keep: Path | None = None,
+    model: FleetModel | None = None,
+    quiet: bool = False,
+    say: Callable[[str], None] = lambda text: None,
+) -> tuple[Verdict, dict[str, Any]]:
+    """Plays a bad day in a folder that is removed after it, or in `keep`."""
+    _raise_file_limit()
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        return await Day(shape, keep, model, quiet, say).run()
+    with tempfile.TemporaryDirectory(prefix="kelpfront-day-") as folder:
+        return await Day(shape, Path(folder), model, quiet, say).run()
+
+
+def _raise_file_limit() -> None:
+    """As many files as this user may have: each link is a socket or more."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < hard:
+        with contextlib.suppress(ValueError, OSError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -59,6 +59,9 @@
 }
 
 
+PROVEN = frozenset({"refused"})  # how an attempt ends that went out and is known not to have run
+
+
 @dataclass(frozen=True, slots=True)
 class PlacerLimits:
     """What one placer takes on; each is a bound on memory."""
@@ -115,7 +118,7 @@
 
     def longest_patience_ms(self, now: float) -> float:
         """How long until the last task without an answer has its deadline; 0 where none is open."""
-        open_tasks = (task for task in self._tasks.values() if task.answer is None and not task.withdrawn)
+        open_tasks = (task for task in self._tasks.values() if task.waits and not task.withdrawn)
         return max((task.deadline - now for task in open_tasks), default=0.0)
 
     def check_spec(self, name: str, spec: JobSpec) -> None:
@@ -266,7 +269,7 @@
         """The owner no longer wants the task, wherever it is."""
         if task.withdrawn or task.state in OVER:
             return
-        if task.answer is None:
+        if task.waits:
             self._open_tasks -= 1
         task.withdrawn = True
         self._feed(now, api.TaskWithdrawn(task.number))
@@ -516,19 +519,19 @@
         if job is not None and job.uid != ref.uid:
             # Its owner has asked anew meanwhile. The old copy takes the place of a task that was not sent.
             twin = job.tasks.get(ref.index)
-            if twin is None or twin.answer is not None or twin.attempts:
+            if twin is None or not twin.waits or twin.attempts:
                 self._stop(entry.name, offer.task, offer.attempt, "asked for anew")
                 return
             self._withdraw(now, twin)
             job.remove(twin)
         if job is None:
             job = self._found_job(now, offer, cls)
-        task = Task(job, ref.index, offer.task, self._number(), now, math.inf)
+        # It has no answer of this life: its owner may have had one of the life before.
+        task = Task(job, ref.index, offer.task, self._number(), now, math.inf, S.PLACED, found=True)
         job.add(task)
         job.next_index = max(job.next_index, ref.index + 1)
         self._tasks[task.uid] = task
         self._numbers[task.number] = task
-        self._open_tasks += 1
         self._adopt(now, task, entry, offer.attempt, report.phase == "running")
 
     def _found_job(self, now: float, offer: wire.Offer, cls: int) -> Job:
@@ -601,8 +604,10 @@
         attempt.number, attempt.placed, attempt.ended_at, attempt.end = 0, True, None, ""
         self._finished.pop(task.job.key, None)
         entry.tasks += 1
-        self._answered(now, task, S.PLACED)
         task.host = entry.name
+        if task.state is not S.PLACED:
+            task.found = not task.waits
+            self._answered(now, task, S.PLACED)
         if running:
             task.move(now, S.RUNNING)
         self._dirty[task.job] = None
@@ -615,7 +620,7 @@
     def _placed(self, now: float, attempt: Attempt, running: bool) -> None:
         """A machine has taken the task, or runs it. Both may be told more than once."""
         task = attempt.task
-        if not attempt.placed and (task.withdrawn or task.answer is not None):
+        if not attempt.placed and (task.withdrawn or not task.waits):
             # Answered while it was out: whatever the machine holds now is a copy that was given up.
             self._close(now, attempt, api.End.CANCELLED, end="given up", task_over=True)
             self._stray(now, attempt.host, task.uid, attempt.wire)
@@ -696,9 +701,9 @@
                 self._stop(attempt.host, task.uid, attempt.wire, "given up")
         stray, task.stray = task.stray, None
         found = None
-        if stray is not None and task.answer is None and not task.withdrawn:
+        if stray is not None and task.waits and not task.withdrawn:
             found = self.directory.entries.get(stray[0])
-        over = task_over or task.withdrawn or task.answer is not None or found is not None
+        over = task_over or task.withdrawn or not task.waits or found is not None
         if not over:
             task.move(now, S.PENDING)
         self._dirty[task.job] = None
@@ -715,7 +720,7 @@
             self._drop(task)
 
     def _answered(self, now: float, task: Task, state: TaskState) -> None:
-        if task.answer is None:
+        if task.waits:
             self._open_tasks -= 1
         task.move(now, state)
         self._dirty[task.job] = None
@@ -821,7 +826,7 @@
 
     def _final(self, now: float, number: api.TaskId, state: TaskState, wait_ms: float) -> None:
         task = self._numbers.get(number)
-        if task is None or task.withdrawn or task.answer is not None:
+        if task is None or task.withdrawn or not task.waits:
             return
         last = next((a for a in reversed(task.attempts) if a.end), None)
         if task.attempts and last is None:
@@ -843,8 +848,11 @@
         return any(attempt.sent_at is not None for attempt in task.attempts)
 
     def _settle(self, now: float, task: Task) -> None:
-        """The time in which a failed task may turn out to run is over."""
+        """The time in which a failed task may turn out to run is over: its owner may ask for it anew."""
         if task.state in (S.REFUSED, S.FAILED):
+            for attempt in task.attempts:
+                if attempt.sent_at is not None and attempt.end not in PROVEN:
+                    self._stop(attempt.host, task.uid, attempt.wire, "given up")
             self._drop(task)
 
     def _cancel(self, now: float, number: api.TaskId, attempt_number: int) -> None:
--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -77,7 +77,9 @@
         """409 where a token that made one job comes with another."""
         new = job.spec.model_dump(by_alias=True, exclude_none=True)
         old = known.body["spec"]
-        differing = [name for name, value in new.items() if name != "count" and old.get(name) != value]
+        # The count may have been changed since, and a repeat has less patience left than the first had.
+        compared = [name for name in new if name not in ("count", "patience")]
+        differing = [name for name in compared if old.get(name) != new[name]]
         if job.metadata.name is not None and job.metadata.name != known.name:
             differing.insert(0, "metadata.name")
         if differing:
--- a/kelpfront/placer/tasks.py
+++ b/kelpfront/placer/tasks.py
@@ -29,6 +29,7 @@
     S.LOST: frozenset(),
 }
 ANSWER_OF = {S.PLACED: Answer.PLACED, S.REFUSED: Answer.REFUSED, S.FAILED: Answer.FAILED}
+UNANSWERED = frozenset({S.PENDING, S.PLACING})
 OVER = frozenset({S.REFUSED, S.FAILED, S.ENDED, S.LOST})
 
 
@@ -94,6 +95,7 @@
     running_at: float | None = None
     ended_at: float | None = None
     withdrawn: bool = False
+    found: bool = False  # it ran already when this placer came to it: an earlier life gave its answer, if any
     stray: tuple[str, int] | None = None  # host and wire number of a copy that was given up and turned up
 
     def move(self, now: float, state: TaskState) -> None:
@@ -109,9 +111,14 @@
             self.ended_at = now
         self.job.counts[self.state] -= 1
         self.job.counts[state] += 1
-        self.job.unanswered -= self.state in (S.PENDING, S.PLACING) and state not in (S.PENDING, S.PLACING)
+        self.job.unanswered -= self.waits and state not in UNANSWERED
         self.state = state
 
+    @property
+    def waits(self) -> bool:
+        """Whether its owner is still owed the answer."""
+        return self.state in UNANSWERED
+
     @property
     def open_attempt(self) -> Attempt | None:
         """The attempt that is out or placed; there is never more than one."""
@@ -130,6 +137,8 @@
         }
         if self.answer is not None:
             shown["answer"] = self.answer.value
+        if self.found:
+            shown["found"] = True
         for name, text in (("machine", self.host), ("reason", self.reason)):
             if text:
                 shown[name] = text
@@ -188,12 +197,12 @@
     def add(self, task: Task) -> None:
         self.tasks[task.index] = task
         self.counts[task.state] += 1
-        self.unanswered += task.state in (S.PENDING, S.PLACING)
+        self.unanswered += task.waits
 
     def remove(self, task: Task) -> None:
         del self.tasks[task.index]
         self.counts[task.state] -= 1
-        self.unanswered -= task.state in (S.PENDING, S.PLACING)
+        self.unanswered -= task.waits
 
     def render(self) -> Object:
         metadata: Object = {
