--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -112,9 +112,10 @@
             self._process.stdin.write(data)
             self._process.stdin.close()
 
-    async def line(self) -> Any:
+    async def line(self, within_s: float = UP_WITHIN_S) -> Any:
+        """The next line of its output, as JSON."""
         assert self._process is not None and self._process.stdout is not None
-        async with asyncio.timeout(UP_WITHIN_S):
+        async with asyncio.timeout(within_s):
             line = await self._process.stdout.readline()
         if not line:
             raise RuntimeError(f"{self.name} ended: {self._log_to.read_text()[-2000:]}")
@@ -326,9 +327,9 @@
         began = loop.time()
         acts = [asyncio.create_task(self._placer_fault(fault)) for fault in self.script.placer_faults]
         acts += [asyncio.create_task(self._drain(drain)) for drain in self.script.drains]
-        lines = [asyncio.create_task(owners.line()) for owners in self._owners]
-        longest = shape.seconds + 60.0
-        while not all(line.done() for line in lines) and loop.time() < began + longest:
+        longest = shape.seconds + END_WITHIN_S
+        lines = [asyncio.create_task(owners.line(longest)) for owners in self._owners]
+        while not all(line.done() for line in lines):
             await asyncio.wait(lines, timeout=max(1.0, shape.seconds / 10))
             self._say(f"{min(loop.time() - began, shape.seconds):.0f} of {shape.seconds:g} s")
         await asyncio.gather(*acts)
