Answers stay in time when more comes in than the placer can look at

Measured: beyond about 900 tasks/s one placer answered late or not at all (2,314 of 19,591 tasks at 1,000/s without an answer): requests of a flood ran before timers, and full garbage collections stopped the process for up to 417 ms.

Requests now take turns of a slice each; a long line serves the newest first and turns away those that waited 0.9 s, before their body is read. A patience counts from when its client says it sent the request. Tasks taken but not yet looked at are handed to the decisions when their time is up. The store keeps JSON beside what selectors need, what lives long is moved out of the collector's sight, ended tasks of the module no longer refer to themselves.

--- a/kelpfront/api/selectors.py
+++ b/kelpfront/api/selectors.py
@@ -5,10 +5,10 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Literal
+from typing import Literal, Protocol
 
 from kelpfront.api.errors import ApiError
-from kelpfront.api.meta import Object, Resource, check_label_key, check_label_value, field_of
+from kelpfront.api.meta import Resource, check_label_key, check_label_value
 
 _SET = re.compile(r"(?P<key>[^\s!=,()]+)\s+(?P<op>in|notin)\s*\((?P<values>[^()]*)\)")
 _EQUALITY = re.compile(r"(?P<key>[^\s!=,()]+)\s*(?P<op>==|=|!=)\s*(?P<value>[^\s!=,()]*)")
@@ -17,6 +17,17 @@
 MAX_TERMS = 32
 
 
+class Selectable(Protocol):
+    """What selectors look at of an object."""
+
+    @property
+    def labels(self) -> Mapping[str, str]: ...
+
+    def field(self, path: str) -> str:
+        """The value at a path that the resource lets fieldSelector name, as text."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Term:
     """One requirement on a label."""
@@ -51,12 +62,10 @@
     labels: tuple[Term, ...] = ()
     fields: tuple[FieldTerm, ...] = ()
 
-    def matches(self, obj: Object) -> bool:
-        if self.labels:
-            labels: Mapping[str, str] = obj["metadata"].get("labels") or {}
-            if not all(term.matches(labels) for term in self.labels):
-                return False
-        return all((field_of(obj, term.path) == term.value) == term.equal for term in self.fields)
+    def matches(self, obj: Selectable) -> bool:
+        return all(term.matches(obj.labels) for term in self.labels) and all(
+            (obj.field(term.path) == term.value) == term.equal for term in self.fields
+        )
 
     @property
     def name(self) -> str | None:
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -19,6 +19,7 @@
 @click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
 @click.option("--seconds", default=40.0, show_default=True, help="How long work comes in.")
 @click.option("--quiet-day", is_flag=True, help="Nothing goes wrong: for measuring.")
+@click.option("--model", "model_text", default="{}", help="How the stand-ins behave, as JSON.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Leave the recording and the logs in this folder."
@@ -30,6 +31,7 @@
     rate: float,
     seconds: float,
     quiet_day: bool,
+    model_text: str,
     as_json: bool,
     keep: Path | None,
 ) -> None:
@@ -39,7 +41,10 @@
     machines' and owners' side is recorded, and judged from that alone. Exit code 1 if a rule was broken or a
     task was left without its answer.
     """
+    import msgspec
+
     from kelpfront.lab.badday import play
+    from kelpfront.lab.fleet import FleetModel
     from kelpfront.lab.script import DayShape
     from kelpfront.service.logs import configure_logs
 
@@ -55,7 +60,11 @@
         if interactive:
             click.echo(text, err=True)
 
-    verdict, figures = asyncio.run(play(shape, keep, quiet=quiet_day, say=say))
+    try:
+        model = msgspec.json.decode(model_text, type=FleetModel)
+    except msgspec.DecodeError as error:
+        fail(f"--model: {error}")
+    verdict, figures = asyncio.run(play(shape, keep, model, quiet=quiet_day, say=say))
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     for violation in verdict.violations[:20]:
         click.echo(f"{violation.rule}: {violation.text}", err=True)
--- a/kelpfront/client/client.py
+++ b/kelpfront/client/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import AsyncIterator
 from types import TracebackType
 from typing import Any
@@ -238,7 +239,11 @@
     ) -> Object:
         """One request's JSON answer; ApiError for an error's."""
         raw = b"" if body is None else msgspec.json.encode(body)
-        headers = (("accept", "application/json"), ("content-type", content_type))
+        headers = (
+            ("accept", "application/json"),
+            ("content-type", content_type),
+            sent_at_header(),
+        )
         reply = await self._exchange(method, self._path + path, raw, headers if raw else headers[:1])
         data = _decoded(reply.body)
         if reply.status >= 400:
@@ -266,6 +271,11 @@
             raise ServerUnreachableError(f"no answer within {self._request_s:g} s", sent) from None
 
 
+def sent_at_header() -> tuple[str, str]:
+    """Says when a request was sent: its patience counts from there, not from when the placer reads it."""
+    return "kelpfront-sent-at", f"{time.time() * 1000:.3f}"
+
+
 def _selectors(labels: str, fields: str) -> dict[str, str]:
     query = {}
     if labels:
--- a/kelpfront/clock.py
+++ b/kelpfront/clock.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime
+from functools import lru_cache
 
 SLEW = 0.0005  # of elapsed time: the rate at which NTP slews, far under the slack of any deadline
 
@@ -41,9 +42,16 @@
         return self._wall() * 1000.0 - self.now()
 
 
+@lru_cache(maxsize=256)
+def _second(second: int) -> str:
+    """The part of a time that all within one second share: making it is the dear part of a timestamp."""
+    return datetime.fromtimestamp(second, UTC).strftime("%Y-%m-%dT%H:%M:%S")
+
+
 def timestamp(ms: float) -> str:
     """RFC 3339 with microseconds, as the API writes times; `ms` since the epoch."""
-    return datetime.fromtimestamp(ms / 1000.0, UTC).strftime("%Y-%m-%dT%H:%M:%S.%fZ")
+    second, micros = divmod(round(ms * 1000.0), 1_000_000)
+    return f"{_second(second)}.{micros:06d}Z"
 
 
 def parse_timestamp(text: str) -> float:
--- a/kelpfront/fronts/rest/front.py
+++ b/kelpfront/fronts/rest/front.py
@@ -23,6 +23,7 @@
 
 MERGE_PATCH = "application/merge-patch+json"
 JSON = "application/json"
+SENT_AT = "kelpfront-sent-at"  # milliseconds since the epoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,9 +119,13 @@
                 return self._list(request, target)
             case "POST" if creates:
                 self._refuse_dry_run(request)
-                data, received = _body(request, JSON), self._received(request)
+                received = self._received(request)
+                self._operations.check_open(received)
+                data = _body(request, JSON)
                 assert target.namespace is not None
-                written = self._operations.create_job(target.namespace, data, received, _validation(request))
+                written = self._operations.create_job(
+                    target.namespace, data, received, _sent_at(request), _validation(request)
+                )
                 return written_response(201 if written.created else 200, written)
             case "DELETE" if creates:
                 self._refuse_dry_run(request)
@@ -295,6 +300,14 @@
     return checked
 
 
+def _sent_at(request: Request) -> float | None:
+    """When the client sent the request, by its own clock: then its owner's patience counts from there."""
+    try:
+        return float(request.headers[SENT_AT])
+    except (KeyError, ValueError):
+        return None
+
+
 def _selector(request: Request, resource: Resource) -> Selector:
     query = request.query
     return parse_selector(resource, query.get("labelSelector", ""), query.get("fieldSelector", ""))
--- a/kelpfront/http/server.py
+++ b/kelpfront/http/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -15,6 +16,8 @@
 
 import h11
 
+from kelpfront.http.pacing import Turns
+
 READ_SIZE = 65536
 
 
@@ -148,11 +151,11 @@
         handler: Handler,
         limits: HttpLimits | None = None,
         error_body: ErrorBody = plain_error,
-        on_refused: Callable[[int, str], None] | None = None,
+        turns: Turns | None = None,
     ) -> None:
-        self._handler, self._error_body = handler, error_body
+        """With `turns`, requests wait for theirs; then the handler must not wait for anything itself."""
+        self._handler, self._error_body, self._turns = handler, error_body, turns
         self._limits = limits or HttpLimits()
-        self._on_refused = on_refused
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
         self._busy = 0
@@ -222,7 +225,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: Peer) -> None:
         writer.transport.set_write_buffer_limits(high=self._limits.write_buffer)
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
-        exchange = _Exchange(conn, reader, writer, self._limits)
+        exchange = _Exchange(conn, reader, writer, self._limits, self._turns)
         try:
             if len(self._tasks) > self._limits.connections or self._closing:
                 raise RequestError(503, f"{self._limits.connections} connections are open, which is the most")
@@ -242,8 +245,6 @@
                 if not exchange.next_cycle():
                     return
         except RequestError as error:
-            if self._on_refused is not None:
-                self._on_refused(error.status, error.message)
             await exchange.refuse(error, self._error_body(error.status, error.message))
         except Abort:
             writer.transport.abort()
@@ -260,14 +261,24 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
+        turns: Turns | None,
     ) -> None:
         self._conn, self._reader, self._writer, self._limits = conn, reader, writer, limits
+        self._turns = turns
+        self._began = 0.0  # when the present request had its turn; 0 where it had to wait for more since
         self._head_only = False
         self._loop = asyncio.get_running_loop()
 
     async def _read(self) -> None:
+        self._tell_turns()
         self._conn.receive_data(await self._reader.read(READ_SIZE))
 
+    def _tell_turns(self) -> None:
+        """What the present request took of its turn so far."""
+        if self._turns is not None and self._began:
+            self._turns.spent(time.perf_counter() - self._began)
+            self._began = 0.0
+
     def _next(self) -> object:
         try:
             return self._conn.next_event()
@@ -284,8 +295,13 @@
                     await self._read()
             except TimeoutError:
                 return None
+            received_at = self._loop.time()
+            if self._turns is not None:
+                await self._turns.enter()
+                self._began = time.perf_counter()
             event = self._next()
-        received_at = self._loop.time()
+        else:
+            received_at = self._loop.time()
         if event is h11.NEED_DATA:
             try:
                 async with asyncio.timeout(limits.head_timeout_s):
@@ -358,13 +374,16 @@
             conn.send(h11.Data(data=response.body)) if response.body and not self._head_only else b"",
             conn.send(h11.EndOfMessage()),
         ]
-        await self._write(b"".join(part for part in parts if part))
+        self._writer.write(b"".join(part for part in parts if part))
+        self._tell_turns()
+        await self._drain()
 
     async def _send_stream(self, response: Response, headers: list[tuple[str, str]]) -> None:
         assert response.stream is not None
         conn, stream = self._conn, response.stream
         try:
             head = conn.send(h11.Response(status_code=response.status, headers=headers))
+            self._tell_turns()
             await self._write(head or b"")
             async for chunk in stream:
                 if chunk:
@@ -376,6 +395,10 @@
 
     async def _write(self, data: bytes) -> None:
         self._writer.write(data)
+        await self._drain()
+
+    async def _drain(self) -> None:
+        """Waits for a client that does not read as fast as it is sent to, for a bounded time."""
         if self._writer.transport.get_write_buffer_size() > self._limits.write_buffer // 2:
             async with asyncio.timeout(self._limits.write_timeout_s):
                 await self._writer.drain()
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -66,7 +66,7 @@
 class PlacerLimits:
     """What one placer takes on; each is a bound on memory."""
 
-    open_tasks: int = 50_000  # without an answer
+    open_tasks: int = 5_000  # without an answer; those that wait are looked at again and again
     jobs: int = 100_000  # that are not finished
     finished_jobs: int = 10_000  # kept for their owners to read
 
@@ -99,6 +99,7 @@
         self._open_tasks = 0
         self._finished: OrderedDict[tuple[str, str], None] = OrderedDict()
         self._arrivals: deque[Task] = deque()
+        self._pending = 0  # of them, those that are still wanted
         self._events: deque[api.Event] = deque()
         self._feeding = False
         self._timers: list[tuple[float, int, Callable[[float], None]]] = []
@@ -116,6 +117,18 @@
         """Tasks that still need their answer."""
         return self._open_tasks
 
+    @property
+    def pending(self) -> int:
+        """Tasks that were taken and not yet handed to the decisions."""
+        return self._pending
+
+    def patience_ms(self, spec: JobSpec) -> float:
+        """How long a job's owner waits: its own word, or its class's; 0 for an unknown class."""
+        if spec.patience is not None:
+            return parse_duration(spec.patience)
+        number = self.cluster.class_numbers.get(spec.class_)
+        return 0.0 if number is None else self.cluster.settings.classes[number].deadline_ms
+
     def longest_patience_ms(self, now: float) -> float:
         """How long until the last task without an answer has its deadline; 0 where none is open."""
         open_tasks = (task for task in self._tasks.values() if task.waits and not task.withdrawn)
@@ -185,25 +198,30 @@
             cls,
             parse_duration(patience),
         )
-        self._add_tasks(job, spec.count, received_at)
-        stored = self.store.create(JOBS, job.key, job.render(), 1 + len(job.tasks))
         self._jobs[job.key] = job
         if job.token:
             self._tokens[namespace, job.token] = job
+        self._add_tasks(job, spec.count, received_at)
         self._take_arrivals(now)
-        return stored
+        self._dirty.pop(job, None)  # what is decided by now is in what is shown first
+        return self.store.create(JOBS, job.key, job.render(), 1 + len(job.tasks))
 
     def _add_tasks(self, job: Job, count: int, received_at: float) -> None:
+        deadline = received_at + job.patience_ms
+        if count + self._pending > ARRIVALS_A_TURN:
+            # Those whose turn does not come in time must still be answered in time.
+            due = deadline - 2 * self.cluster.settings.tick_ms
+            self._set_timer(due, lambda then: self._hand_over_late(then, job))
         for _ in range(count):
             index = job.next_index
             job.next_index += 1
-            deadline = received_at + job.patience_ms
             task = Task(job, index, f"{job.uid}-{index}", self._number(), received_at, deadline)
             job.add(task)
             self._tasks[task.uid] = task
             self._numbers[task.number] = task
             self._open_tasks += 1
             self._arrivals.append(task)
+            self._pending += 1
 
     def _number(self) -> api.TaskId:
         self._next_number += 1
@@ -260,6 +278,7 @@
 
     def _forget_job(self, job: Job) -> None:
         del self._jobs[job.key]
+        job.tasks.clear()  # tasks refer to their job: without this the two would be garbage for the collector
         self._finished.pop(job.key, None)
         self._dirty.pop(job, None)
         if self._tokens.get((job.namespace, job.token)) is job:
@@ -272,7 +291,11 @@
         if task.waits:
             self._open_tasks -= 1
         task.withdrawn = True
-        self._feed(now, api.TaskWithdrawn(task.number))
+        if not task.handed_over:
+            task.handed_over = True
+            self._pending -= 1
+        else:
+            self._feed(now, api.TaskWithdrawn(task.number))
         attempt = task.open_attempt
         if attempt is not None and attempt.placed:
             self._stop(attempt.host, task.uid, attempt.wire, "withdrawn")
@@ -284,6 +307,8 @@
     def _drop(self, task: Task) -> None:
         self._tasks.pop(task.uid, None)
         self._numbers.pop(task.number, None)
+        if task.job.deleted:
+            task.attempts.clear()  # as above: attempts refer to their task
 
     # ---- Offers ---------------------------------------------------------------------------------------
 
@@ -527,7 +552,8 @@
         if job is None:
             job = self._found_job(now, offer, cls)
         # It has no answer of this life: its owner may have had one of the life before.
-        task = Task(job, ref.index, offer.task, self._number(), now, math.inf, S.PLACED, found=True)
+        task = Task(job, ref.index, offer.task, self._number(), now, math.inf, S.PLACED)
+        task.found = task.handed_over = True
         job.add(task)
         job.next_index = max(job.next_index, ref.index + 1)
         self._tasks[task.uid] = task
@@ -737,7 +763,7 @@
             if oldest in self._dirty:
                 self._show_job(oldest)
             oldest.deleted = True
-            for task in oldest.tasks.values():
+            for task in list(oldest.tasks.values()):
                 self._drop(task)
             self._forget_job(oldest)
             self.store.delete(JOBS, key)
@@ -921,17 +947,28 @@
 
     def _take_arrivals(self, now: float) -> None:
         """Some of the tasks that came in: a job of a thousand must not hold up everything else."""
-        for _ in range(min(ARRIVALS_A_TURN, len(self._arrivals))):
-            task = self._arrivals.popleft()
-            if task.withdrawn:
-                continue
-            spec = task.job.spec
-            service = service_number(task.job.namespace, spec["service"])
-            left = max(0.0, task.deadline - now)
-            self._feed(
-                now,
-                api.TaskArrived(task.number, task.job.cls, service, spec["cores"], spec["memory"], left),
-            )
+        handed = 0
+        while self._arrivals and handed < ARRIVALS_A_TURN:
+            handed += self._hand_over(now, self._arrivals.popleft())
+
+    def _hand_over(self, now: float, task: Task) -> bool:
+        """Gives a task to the decisions; False where they have it already or it is no longer wanted."""
+        if task.handed_over:
+            return False
+        task.handed_over = True
+        self._pending -= 1
+        spec = task.job.spec
+        service = service_number(task.job.namespace, spec["service"])
+        left = max(0.0, task.deadline - now)
+        arrived = api.TaskArrived(task.number, task.job.cls, service, spec["cores"], spec["memory"], left)
+        self._feed(now, arrived)
+        return True
+
+    def _hand_over_late(self, now: float, job: Job) -> None:
+        """The time of a job's tasks is up; the decisions refuse those that they had not seen yet."""
+        for task in list(job.tasks.values()):
+            if task.waits:
+                self._hand_over(now, task)
 
     def _pump(self, now: float) -> None:
         if self.directory.list_due(now):
--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -20,6 +20,7 @@
 from kelpfront.api.patch import merge_patch
 from kelpfront.api.selectors import Selector
 from kelpfront.placer.heart import Heart
+from kelpfront.placer.intake import Arrival, asked_at, behind, refusal
 from kelpfront.store import ResourceStore, Stored
 
 NAME_ALPHABET = "bcdfghjklmnpqrstvwxz2456789"
@@ -47,10 +48,23 @@
 
     # ---- Jobs -----------------------------------------------------------------------------------------
 
+    def check_open(self, received_at: float) -> None:
+        """503 where no work is taken now, whatever it is; to be asked before a request's body is read."""
+        if why := behind(self._now(), received_at):
+            raise ApiError(503, why, retry_after_s=1)
+
     def create_job(
-        self, namespace: str, data: Object, received_at: float, validation: FieldValidation = "Strict"
+        self,
+        namespace: str,
+        data: Object,
+        received_at: float,
+        sent_at: float | None = None,
+        validation: FieldValidation = "Strict",
     ) -> Written:
-        """Takes a job, or finds the one that the same client token made before."""
+        """Takes a job, or finds the one that the same client token made before.
+
+        `received_at` is when its request came in, `sent_at` when its client says that it sent it.
+        """
         self._check_namespace(namespace)
         job, warnings = decode(JOB_INPUT, JOBS, data, validation)
         self._check_metadata(JOBS, job.metadata, namespace, job.metadata.name)
@@ -62,14 +76,20 @@
                 return Written(known, False, warnings)
         if self.closed:
             raise ApiError(503, self.closed, retry_after_s=1)
+        name = self._name(namespace, job)
+        self._heart.check_spec(name, spec)
+        now = self._now()
+        arrival = Arrival(now, received_at, sent_at, self._heart.patience_ms(spec))
+        if why := refusal(arrival, self._heart.pending, self._heart.cluster.settings.tick_ms):
+            raise ApiError(503, why, retry_after_s=1)
         stored = self._heart.submit(
-            self._now(),
+            now,
             namespace,
-            self._name(namespace, job),
+            name,
             spec,
             job.metadata.labels or {},
             job.metadata.annotations or {},
-            received_at,
+            asked_at(arrival),
         )
         return Written(stored, True, warnings)
 
@@ -168,15 +188,15 @@
         machine, warnings = decode(MACHINE_INPUT, MACHINES, data, validation)
         self._check_metadata(MACHINES, machine.metadata, "", stored.name)
         self.store.check_revision(MACHINES, stored, machine.metadata.resource_version)
-        new = machine.spec.model_dump(by_alias=True)
+        new, old = machine.spec.model_dump(by_alias=True), stored.body["spec"]
         causes = tuple(
             Cause(f"spec.{field}", "is the inventory's and cannot be changed here", "FieldValueForbidden")
             for field in machine_api.FIXED_SPEC_FIELDS
-            if new[field] != stored.body["spec"][field]
+            if new[field] != old[field]
         )
         if causes:
             raise invalid(MACHINES, stored.name, causes)
-        if machine.spec.unschedulable == stored.body["spec"]["unschedulable"]:
+        if machine.spec.unschedulable == old["unschedulable"]:
             return Written(stored, False, warnings)
         return Written(
             self._heart.cordon(self._now(), stored.name, machine.spec.unschedulable), False, warnings
--- a/kelpfront/placer/tasks.py
+++ b/kelpfront/placer/tasks.py
@@ -94,6 +94,7 @@
     answered_at: float | None = None
     running_at: float | None = None
     ended_at: float | None = None
+    handed_over: bool = False  # to the decisions
     withdrawn: bool = False
     found: bool = False  # it ran already when this placer came to it: an earlier life gave its answer, if any
     stray: tuple[str, int] | None = None  # host and wire number of a copy that was given up and turned up
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -60,6 +60,9 @@
     recent_memory: float = 0.0
     base_cores: float = 0.0
     base_memory: float = 0.0
+    sums_at: float = math.nan  # when `sums` were made: a pick asks for them several times
+    sums: tuple[float, float] = (0.0, 0.0)
+    cold_until: float = -math.inf
     ready: bool = False
     awaited: int = 0  # own attempts there without acknowledgement
     told_cores: float | None = None  # in use by the machine's report, and own changes that it may lack
@@ -79,6 +82,7 @@
         self.ready = view.state is api.MachineState.READY
         self.base_cores = self.cores - view.free_cores
         self.base_memory = self.memory - view.free_memory
+        self.sums_at = math.nan
 
     def note_change(self, now: float, cores: float, memory: float) -> None:
         self.recent.append((now, cores, memory))
@@ -86,15 +90,19 @@
         self.recent_memory += memory
         self.own_cores += cores
         self.own_memory += memory
+        self.sums_at = math.nan
 
     def asked(self, now: float) -> tuple[float, float]:
         """Asked cores and memory: the view's, with own binds and ends that it cannot show yet."""
+        if now == self.sums_at:
+            return self.sums
         while self.recent and self.recent[0][0] <= now - VIEW_LAG_MS:
             _, cores, memory = self.recent.popleft()
             self.recent_cores -= cores
             self.recent_memory -= memory
         cores, memory = self.base_cores + self.recent_cores, self.base_memory + self.recent_memory
-        return cores if cores > 0 else 0.0, memory if memory > 0 else 0.0
+        self.sums_at, self.sums = now, (cores if cores > 0 else 0.0, memory if memory > 0 else 0.0)
+        return self.sums
 
     def used(self, now: float, ratios: list[float]) -> tuple[float, float]:
         """Cores and memory in use soon: the machine's report with own changes since, else what is asked."""
@@ -293,18 +301,19 @@
         there, anywhere = self._taken(task)
         most = task.cls.together_max - anywhere
         spread, kind = task.cls.apart is not api.Place.NONE, task.cls.needs_kind
+        now, bound = self._now, bool(task.maybe_ran)
         allowed = [
             m
             for m in self._ready
             if (kind is None or m.view.kind == kind)
             and not (spread and there[_place(m, task.cls.apart)] >= most)
-            and self._fits_effect(task, m)
-            and self._fits_cold(m)
+            and not (bound and not self._fits_effect(task, m))
+            and (now >= m.cold_until or self._fits_cold(m))
         ]
         roomy = [m for m in allowed if self._fits_room(task, m)]
         if roomy or not (self._settings.pushes_out and task.cls.priority > self._lowest_priority):
             allowed = roomy
-        healthy = [m for m in allowed if self._fits_health(task.cls, m)]
+        healthy = [m for m in allowed if not m.health or self._fits_health(task.cls, m)]
         fresh = [m for m in healthy if m.id not in task.tried]
         calm = [m for m in fresh if self._fits_use(task, m)]
         if calm or (task.cls.priority == self._lowest_priority and not task.maybe_ran):
@@ -434,8 +443,8 @@
         task.tried[event.machine] = None
         if event.end is api.End.REFUSED and machine is not None:
             self._take_refusal(task, machine, event.reason)
-        elif event.end not in api.NEVER_RAN:
-            task.maybe_ran.append(attempt)
+        elif event.end not in api.NEVER_RAN and not event.task_over:
+            task.maybe_ran.append(attempt)  # not of one that is over: it would refer to itself, as garbage
         if event.task_over:
             self._end(task)
         else:
@@ -520,8 +529,6 @@
 
     def _fits_health(self, cls: api.TaskClass, machine: _Machine) -> bool:
         """In use for the class, or on trial by one attempt at a time; where two agree, it is the machine."""
-        if not machine.health:
-            return True
         bad = {key for key, health in machine.health.items() if health.strikes >= STRIKES}
         if len(bad - {cls.name}) < 2:
             bad &= {WHOLE, cls.name}
@@ -613,9 +620,6 @@
         longer by a connect time-out, which may hold offers up. A former life may have spent the first slot.
         """
         rules, settings = self._rules, self._settings
-        started = machine.view.started_at
-        if started <= 0 or self._now >= started + rules.cold_ms:
-            return True
         slot_ms = (rules.cold_window_ms + settings.connect_timeout_ms) / 3
         slot = int(self._now // slot_ms)
         if machine.slot != slot:
@@ -683,12 +687,14 @@
             if restarted:
                 machine.health.clear()
                 machine.recent.clear()
+                machine.sums_at = math.nan
                 machine.recent_cores = machine.recent_memory = 0.0
                 machine.load_at = -math.inf
             was_ready = machine.ready
             machine.show(entry)
             if machine.ready != was_ready:
                 self._count_ready()
+        machine.cold_until = entry.started_at + self._rules.cold_ms if entry.started_at > 0 else -math.inf
         empty = entry.free_cores >= machine.cores and not machine.open and self._now > machine.last_bind
         if empty and self._settings.list_tells_free:
             self._lower_counters(machine)
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import gc
 import math
 import random
 import signal
@@ -17,11 +16,13 @@
 from kelpfront.clock import CommonClock
 from kelpfront.config import Config, build_cluster
 from kelpfront.fronts.rest import Health, RestFront, WatchTimes, error_body
+from kelpfront.http.pacing import Turns
 from kelpfront.http.server import HttpLimits, HttpServer
 from kelpfront.inventory import Inventory, InventoryError, KindSize, read_inventory
 from kelpfront.placer.heart import Heart, PlacerLimits
 from kelpfront.placer.intents import AbandonOffer, LogLine, SendOffer, SendProbe, SendStop
 from kelpfront.placer.operations import Operations
+from kelpfront.service.garbage import FREEZE_S, Collector
 from kelpfront.service.links import Link
 from kelpfront.store import ResourceStore, StoreLimits
 
@@ -85,9 +86,11 @@
                 idle_timeout_s=limits.idle_time / 1000,
             ),
             error_body,
+            Turns(),
         )
         self.links: dict[str, Link] = {}
-        self.lag_ms = 0.0  # how late the event loop was, at its worst in the last look
+        self.lag_ms = 0.0  # how late the heart's timers were at the worst, between two looks
+        self._latest_ms = 0.0
         self._chance = chance
         self._inventory = inventory
         self._jobs: set[asyncio.Task[None]] = set()
@@ -188,10 +191,12 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, signalled)
         await self.start()
-        gc.collect()
-        gc.freeze()  # what was made at start lives as long as the process: no collection need look at it
+        collector = Collector(self.heart.cluster.settings.tick_ms, lambda: not self.heart.open_tasks)
+        collector.start()
+        self._spawn(self._collect(collector))
         on_start(self)
         await self._stopped.wait()
+        collector.stop()
 
     def health(self) -> Health:
         return Health(ready=self.operations.closed)
@@ -264,22 +269,24 @@
         self._armed = loop.call_later(delay, self._tick) if delay > 0 else loop.call_soon(self._tick)  # type: ignore[assignment]
 
     def _tick(self) -> None:
+        now = self.clock.now()
+        if self._armed_at > -math.inf:
+            self._latest_ms = max(self._latest_ms, now - self._armed_at)
         self._armed, self._armed_at = None, math.inf
-        self.heart.advance(self.clock.now())
-        self.changed()
+        self.heart.advance(now)
+        self._work()  # at once: what is due now may be an answer
 
     async def _look_after(self) -> None:
-        """The event loop's lag, machines that were taken out, and the inventory file."""
+        """Timers that are late, machines that were taken out, and the inventory file."""
         loop = asyncio.get_running_loop()
         path = Path(self.config.placer.inventory)
         stamp = _stamp(path)
         look_at = loop.time() + INVENTORY_LOOK_S
         while True:
-            due = loop.time() + LAG_LOOK_S
             await asyncio.sleep(LAG_LOOK_S)
-            self.lag_ms = (loop.time() - due) * 1000.0
+            self.lag_ms, self._latest_ms = self._latest_ms, 0.0
             if self.lag_ms > self.heart.cluster.settings.tick_ms:
-                log.warning("event loop is late", lag_ms=round(self.lag_ms))
+                log.warning("timers are late", lag_ms=round(self.lag_ms))
             self._sync_links()
             if loop.time() >= look_at:
                 look_at = loop.time() + INVENTORY_LOOK_S
@@ -287,6 +294,12 @@
                     stamp = now
                     await self.reload_inventory()
 
+    @staticmethod
+    async def _collect(collector: Collector) -> None:
+        while True:
+            await asyncio.sleep(FREEZE_S)
+            collector.look()
+
     async def reload_inventory(self) -> None:
         """Reads the inventory anew; a faulty file is told of and changes nothing."""
         try:
--- a/kelpfront/store/resources.py
+++ b/kelpfront/store/resources.py
@@ -17,13 +17,15 @@
 import msgspec
 
 from kelpfront.api.errors import ApiError, already_exists, conflict, expired, not_found
-from kelpfront.api.meta import RESOURCES, Object, Resource
+from kelpfront.api.meta import RESOURCES, Object, Resource, field_of
 from kelpfront.api.selectors import EVERYTHING, Selector
 from kelpfront.store.watch import Change, Watch, Watchers
 
 Key = tuple[str, str]
 """Namespace (empty for resources without) and name."""
 
+NO_LABELS: dict[str, str] = {}
+
 
 @dataclass(frozen=True, slots=True)
 class StoreLimits:
@@ -38,30 +40,57 @@
 
 
 class Stored:
-    """An object at a revision. Its JSON is made once, however many read it."""
+    """An object at a revision, as the JSON that its readers get.
+
+    Only what selectors look at is kept beside it: a history of tens of thousands of parsed objects would make
+    each garbage collection stop the process for tenths of a second.
+    """
 
-    __slots__ = ("_raw", "body", "name", "namespace", "revision", "weight")
+    __slots__ = ("_fields", "labels", "name", "namespace", "raw", "revision", "weight")
 
-    def __init__(self, namespace: str, name: str, revision: int, body: Object, weight: int = 1) -> None:
-        self.namespace, self.name = namespace, name
-        self.revision, self.body, self.weight = revision, body, weight
-        self._raw = b""
+    def __init__(
+        self,
+        namespace: str,
+        name: str,
+        revision: int,
+        raw: bytes,
+        labels: dict[str, str],
+        fields: dict[str, str],
+        weight: int,
+    ) -> None:
+        self.namespace, self.name, self.revision = namespace, name, revision
+        self.raw, self.labels, self.weight = raw, labels, weight
+        self._fields = fields
+
+    @classmethod
+    def of(cls, resource: Resource, key: Key, revision: int, body: Object, weight: int = 1) -> Stored:
+        """A body at a revision, which is written into it."""
+        body["metadata"]["resourceVersion"] = str(revision)
+        fields = {path: field_of(body, path) for path in resource.fields}
+        labels: dict[str, str] = body["metadata"].get("labels") or NO_LABELS
+        return cls(*key, revision, msgspec.json.encode(body), labels, fields, weight)
 
     @property
     def key(self) -> Key:
         return self.namespace, self.name
 
     @property
-    def raw(self) -> bytes:
-        """The object as JSON."""
-        if not self._raw:
-            self._raw = msgspec.json.encode(self.body)
-        return self._raw
+    def body(self) -> Object:
+        """The object as data, made anew at each call."""
+        body: Object = msgspec.json.decode(self.raw)
+        return body
+
+    def field(self, path: str) -> str:
+        if path == "metadata.name":
+            return self.name
+        return self.namespace if path == "metadata.namespace" else self._fields[path]
 
     def at(self, revision: int) -> Stored:
         """The same object shown at another revision, as deletions are."""
-        body = {**self.body, "metadata": {**self.body["metadata"], "resourceVersion": str(revision)}}
-        return Stored(self.namespace, self.name, revision, body, self.weight)
+        body = self.body
+        body["metadata"]["resourceVersion"] = str(revision)
+        raw = msgspec.json.encode(body)
+        return Stored(self.namespace, self.name, revision, raw, self.labels, self._fields, self.weight)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +164,7 @@
         return self._write(resource, key, body, weight)
 
     def update(self, resource: Resource, key: Key, body: Object, weight: int = 1) -> Stored:
-        """Replaces an object; `body` is the store's from then on and must not be changed."""
+        """Replaces an object."""
         self.get(resource, key)
         return self._write(resource, key, body, weight)
 
@@ -151,8 +180,7 @@
     def _write(self, resource: Resource, key: Key, body: Object, weight: int) -> Stored:
         table = self._tables[resource.plural]
         self.revision += 1
-        body["metadata"]["resourceVersion"] = str(self.revision)
-        stored = Stored(*key, self.revision, body, weight)
+        stored = Stored.of(resource, key, self.revision, body, weight)
         before = table.objects.get(key)
         table.objects[key] = stored
         self._record(table, Change(self.revision, before, stored))
@@ -197,11 +225,11 @@
         objects = self._tables[resource.plural].objects
         if namespace is not None and selector.name is not None:
             one = objects.get((namespace, selector.name))
-            return [one] if one is not None and selector.matches(one.body) else []
+            return [one] if one is not None and selector.matches(one) else []
         found = [
             stored
             for stored in objects.values()
-            if (namespace is None or stored.namespace == namespace) and selector.matches(stored.body)
+            if (namespace is None or stored.namespace == namespace) and selector.matches(stored)
         ]
         found.sort(key=lambda stored: stored.key)
         return found
--- a/kelpfront/store/watch.py
+++ b/kelpfront/store/watch.py
@@ -123,7 +123,7 @@
     def _selects(self, stored: Stored) -> bool:
         if self.namespace is not None and stored.namespace != self.namespace:
             return False
-        return (self.name is None or stored.name == self.name) and self.selector.matches(stored.body)
+        return (self.name is None or stored.name == self.name) and self.selector.matches(stored)
 
 
 class Watchers:
