--- a/kelpfront/cli/files.py
+++ b/kelpfront/cli/files.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import os
-import subprocess
-import sys
 from pathlib import Path
 
 import click
+from click.shell_completion import get_completion_class
 
 from kelpfront.cli.common import config_option, fail, load_config, set_option
 from kelpfront.config import build_cluster, example
@@ -65,11 +63,8 @@
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
     """Print the completion script of a shell, to be sourced from its start-up file."""
-    script = subprocess.run(
-        [sys.argv[0]],
-        env={**os.environ, "_KELPFRONT_COMPLETE": f"{shell}_source"},
-        capture_output=True,
-        text=True,
-        check=False,
-    )
-    click.echo(script.stdout, nl=False)
+    from kelpfront.cli.main import main
+
+    found = get_completion_class(shell)
+    assert found is not None
+    click.echo(found(main, {}, "kelpfront", "_KELPFRONT_COMPLETE").source())
--- a/kelpfront/cli/jobs.py
+++ b/kelpfront/cli/jobs.py
@@ -173,7 +173,7 @@
             objects = [await client.read(its, namespace, name)]
         else:
             objects, _ = await client.list_objects(its, where, selector, field_selector)
-    show(output, objects, lambda: _table(its, objects, all_namespaces), one=name is not None)
+    show(output, objects, lambda: objects_table(its, objects, all_namespaces), one=name is not None)
 
 
 @click.command()
@@ -293,7 +293,7 @@
 # ---- Tables -----------------------------------------------------------------------------------------------
 
 
-def _table(resource: Resource, objects: list[Object], wide: bool) -> Table:
+def objects_table(resource: Resource, objects: list[Object], wide: bool) -> Table:
     if resource is JOBS:
         columns = ["NAME", "CLASS", "SERVICE", "PHASE", "TASKS", "PLACED", "REFUSED", "FAILED", "CREATED"]
         table = plain_table(*(["NAMESPACE"] if wide else []), *columns)
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -73,6 +73,24 @@
 
 
 @click.command()
-def demo() -> None:
-    """Not here yet."""
-    raise click.ClickException("not here yet")
+@click.option("--keep", is_flag=True, help="Leave it up, and print its URL, until Ctrl-C.")
+def demo(keep: bool) -> None:
+    """Run a small cluster on loopback: a job is placed and followed."""
+    from kelpfront.api.meta import JOBS, MACHINES
+    from kelpfront.cli.common import console
+    from kelpfront.cli.jobs import objects_table
+    from kelpfront.client import Client
+    from kelpfront.lab.demo import run_demo
+
+    async def show(client: Client) -> None:
+        for resource in (JOBS, MACHINES):
+            objects, _ = await client.list_objects(resource)
+            click.echo()
+            console().print(objects_table(resource, objects, wide=resource.namespaced))
+
+    try:
+        placed = asyncio.run(run_demo(keep, click.echo, show))
+    except KeyboardInterrupt:
+        return
+    if not placed:
+        raise SystemExit(1)
--- a/kelpfront/client/client.py
+++ b/kelpfront/client/client.py
@@ -95,18 +95,20 @@
         """Removes a job and withdraws its tasks."""
         await self.request("DELETE", self.path(JOBS, namespace, name))
 
-    async def wait_answers(self, job: Job, *, timeout_s: float | None = None) -> Job:
-        """The job once each of its tasks has its answer; ApiError 404 if it is gone.
-
-        The default time-out is the job's patience and some seconds.
-        """
+    async def follow(self, job: Job) -> AsyncIterator[Job]:
+        """The job as it is and after each change, until it is deleted: ApiError 404."""
         namespace, name = job.metadata.namespace or "", job.metadata.name or ""
+        async for event in self.watch(JOBS, namespace, field_selector=f"metadata.name={name}"):
+            if event.kind == "DELETED":
+                raise ApiError(404, f'job "{name}" was deleted', resource=JOBS, name=name)
+            yield Job.model_validate(event.object)
+
+    async def wait_answers(self, job: Job, *, timeout_s: float | None = None) -> Job:
+        """The job once each of its tasks has its answer; ApiError 404 if it is gone."""
         async with asyncio.timeout(timeout_s):
-            async for event in self.watch(JOBS, namespace, field_selector=f"metadata.name={name}"):
-                if event.kind == "DELETED":
-                    raise ApiError(404, f'job "{name}" was deleted', resource=JOBS, name=name)
-                if event.object["status"]["answered"] == len(event.object["status"]["tasks"]):
-                    return Job.model_validate(event.object)
+            async for state in self.follow(job):
+                if state.status is not None and state.status.answered == len(state.status.tasks):
+                    return state
         raise AssertionError("a watch does not end by itself")
 
     # ---- Machines -------------------------------------------------------------------------------------
--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -239,18 +239,12 @@
     async def run(self) -> tuple[Verdict, dict[str, Any]]:
         began = time.monotonic()
         try:
-            await self._set_up()
+            await self.set_up()
             self._say(f"{self.shape.machines} machines and {self.shape.placers} placers are up")
             told = await self._play()
             codes = await asyncio.gather(*(self._end_placer(placer) for placer in self.placers))
         finally:
-            for placer in self.placers:
-                if placer.process is not None:
-                    placer.process.kill()
-            await asyncio.gather(*(fleet.end() for fleet in self._fleets))
-            for owners in self._owners:
-                owners.kill()
-            self._recorder.close()
+            await self.tear_down()
         self._say("judging")
         paths = sorted(self.work.glob("*.jsonl"))
         verdict = check(read_recordings(paths), Figures.of(self.config))
@@ -260,7 +254,18 @@
 
     # ---- Set-up ---------------------------------------------------------------------------------------
 
-    async def _set_up(self) -> None:
+    async def tear_down(self) -> None:
+        """Ends all processes; placers that were not ended before are killed."""
+        for placer in self.placers:
+            if placer.process is not None:
+                placer.process.kill()
+        await asyncio.gather(*(fleet.end() for fleet in self._fleets))
+        for owners in self._owners:
+            owners.kill()
+        self._recorder.close()
+
+    async def set_up(self) -> None:
+        """Starts machines and placers, and waits until these take jobs."""
         (self.work / "cluster.ini").write_text(SETTINGS)
         (self.work / "faults.json").write_bytes(msgspec.json.encode(self.script.faults))
         rooms = [room for room in ROOMS if any(host.room == room for host in self.hosts)]
--- a/kelpfront/placer/directory.py
+++ b/kelpfront/placer/directory.py
@@ -22,6 +22,7 @@
 RECONNECT_MS = 1_000.0  # a broken stream may take so long to be back before its machine counts as gone
 LIST_PERIOD_MS = 250.0  # between lists that tell only of room: finer than what the decisions allow for lag
 SHOW_PERIOD_MS = 5_000.0  # between changes of a machine's object that only renew its figures
+SHOW_TASKS_MS = 1_000.0  # ... where its tasks have come or gone
 
 MODULE_STATE = {
     State.READY: api.MachineState.READY,
@@ -60,6 +61,7 @@
     shown_at: float = -math.inf
     given_up: bool = False  # its tasks were declared lost
     tasks: int = 0
+    shown_tasks: int = 0
 
     @property
     def name(self) -> str:
@@ -248,6 +250,12 @@
 
     # ---- What owners are shown ------------------------------------------------------------------------
 
+    @staticmethod
+    def worth_showing(now: float, entry: Entry) -> bool:
+        """Whether figures that only drift are to be shown anew."""
+        period = SHOW_PERIOD_MS if entry.tasks == entry.shown_tasks else SHOW_TASKS_MS
+        return entry.load is not None and now >= entry.shown_at + period
+
     def render(self, entry: Entry) -> Object:
         """The machine's object for the API."""
         status: Object = {"state": entry.state.value, "tasks": entry.tasks, "free": {}, "unused": {}}
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -27,7 +27,7 @@
 from kelpfront.machine import messages as wire
 from kelpfront.numbers import service_number
 from kelpfront.placer.cluster import Cluster
-from kelpfront.placer.directory import SHOW_PERIOD_MS, Changes, Directory, Entry
+from kelpfront.placer.directory import Changes, Directory, Entry
 from kelpfront.placer.intents import AbandonOffer, Intent, LogLine, SendOffer, SendProbe, SendStop
 from kelpfront.placer.strays import Verdict, judge
 from kelpfront.placer.tasks import OVER, Attempt, Job, Task
@@ -997,11 +997,11 @@
                 self._dirty_machines.pop(entry, None)
                 if self.store.find(MACHINES, ("", entry.name)) is not None:
                     self.store.delete(MACHINES, ("", entry.name))
-            elif entry.load is not None and now >= entry.shown_at + SHOW_PERIOD_MS:
+            elif self.directory.worth_showing(now, entry):
                 self._dirty_machines[entry] = None
 
     def _show_machine(self, now: float, entry: Entry) -> None:
-        entry.shown_at = now
+        entry.shown_at, entry.shown_tasks = now, entry.tasks
         key = "", entry.name
         body = self.directory.render(entry)
         if self.store.find(MACHINES, key) is None:
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,103 @@
+"""The arrow of imports: decisions <- core (sans I/O) <- service, fronts, agent <- command line."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "kelpfront"
+
+# What each part may import of the project. A part that is not named may import only what all may.
+ALL = {"kelpfront.units", "kelpfront.clock", "kelpfront.numbers", "kelpfront.backoff", "kelpfront.interface"}
+MAY: dict[str, set[str]] = {
+    "rules": {"kelpfront.interface"},
+    "interface": set(),
+    "wire": {"kelpfront.interface"},
+    "simhost": {"kelpfront.interface", "kelpfront.rules", "kelpfront.wire"},
+    "api": set(),
+    "store": {"kelpfront.api"},
+    "inventory": set(),
+    "machine": {"kelpfront.http"},
+    "placer": {
+        "kelpfront.api",
+        "kelpfront.store",
+        "kelpfront.inventory",
+        "kelpfront.machine",
+        "kelpfront.rules",
+    },
+    "config": {"kelpfront.placer"},
+    "http": set(),
+    "client": {"kelpfront.api", "kelpfront.http"},
+    "fronts": {"kelpfront.api", "kelpfront.store", "kelpfront.http", "kelpfront.placer"},
+    "service": {
+        "kelpfront.api",
+        "kelpfront.store",
+        "kelpfront.inventory",
+        "kelpfront.machine",
+        "kelpfront.placer",
+        "kelpfront.config",
+        "kelpfront.http",
+        "kelpfront.fronts",
+    },
+}
+PURE = ("api", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
+"""Parts that do no I/O and read no clock."""
+PURE_MACHINE = ("admission", "messages", "node", "outbox", "warmup")
+IMPURE = {"asyncio", "socket", "time", "threading", "subprocess", "select", "uuid", "secrets"}
+
+
+def modules() -> list[Path]:
+    return sorted(ROOT.rglob("*.py"))
+
+
+def part_of(path: Path) -> str:
+    return path.relative_to(ROOT).parts[0].removesuffix(".py")
+
+
+def imports(path: Path) -> set[str]:
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f"{node.module}.{alias.name}" for alias in node.names if node.module == "kelpfront"}
+    return found
+
+
+@pytest.mark.parametrize("path", modules(), ids=lambda path: str(path.relative_to(ROOT)))
+def test_imports_run_one_way(path: Path) -> None:
+    part = part_of(path)
+    if part in ("cli", "lab", "__init__", "__main__"):
+        return
+    allowed = MAY.get(part, set()) | (ALL if part not in ("rules", "interface", "wire", "simhost") else set())
+    for name in imports(path):
+        if not name.startswith("kelpfront."):
+            continue
+        top = ".".join(name.split(".")[:2])
+        assert top in allowed or top == f"kelpfront.{part}", f"{path.name} imports {name}"
+
+
+@pytest.mark.parametrize("path", modules(), ids=lambda path: str(path.relative_to(ROOT)))
+def test_what_decides_does_no_io_and_reads_no_clock(path: Path) -> None:
+    part = part_of(path)
+    pure = part in PURE or (part == "machine" and path.stem in PURE_MACHINE)
+    files = path.name == "read.py" and part == "inventory"
+    if pure and not files:
+        assert not {name.split(".")[0] for name in imports(path)} & IMPURE
+
+
+def test_the_bench_adapter_needs_the_standard_library_only() -> None:
+    code = (
+        "import sys, kelpfront.simhost\n"
+        "known = set(sys.stdlib_module_names) | {'kelpfront', '__main__'}\n"
+        "third = {m.split('.')[0] for m in sys.modules} - known\n"
+        "third = {m for m in third if not m.startswith('_') and getattr(sys.modules[m], '__file__', None)}\n"
+        "print(sorted(third))"
+    )
+    result = subprocess.run([sys.executable, "-I", "-c", code], capture_output=True, text=True, check=True)
+    assert result.stdout.strip() in ("[]", "['sitecustomize']")
