--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,15 +1,31 @@
-"""The README's library example runs and places its task."""
+"""The examples of the pages run."""
 
 from __future__ import annotations
 
+import asyncio
 import re
 from pathlib import Path
 
 import pytest
+from clusters import cluster
+
+ROOT = Path(__file__).parent.parent
+
+
+def example(page: str) -> str:
+    (text,) = re.findall(r"```python\n(.*?)```", (ROOT / page).read_text(), re.DOTALL)
+    assert isinstance(text, str)
+    return text
 
 
 def test_the_library_example_places_a_task(capsys: pytest.CaptureFixture[str]) -> None:
-    text = (Path(__file__).parent.parent / "README.md").read_text()
-    (example,) = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
-    exec(compile(example, "README.md", "exec"), {})
+    exec(compile(example("docs/library.md"), "library.md", "exec"), {})
     assert re.fullmatch(r"offer task 42 to machine [123], wait \d+ ms\n", capsys.readouterr().out)
+
+
+async def test_the_client_example_places_its_tasks(capsys: pytest.CaptureFixture[str]) -> None:
+    async with cluster(2) as (_, service, _client):
+        code = example("README.md").replace("http://127.0.0.1:8140", service.url)
+        await asyncio.to_thread(exec, compile(code, "README.md", "exec"), {})
+    told = [line for line in capsys.readouterr().out.splitlines() if "Placed" in line]
+    assert [re.sub(r"n\d", "N", line) for line in told] == ["0 Placed N", "1 Placed N"]
