--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import resource
+import signal
 import sys
 import tempfile
 import time
@@ -437,6 +438,9 @@
 ) -> tuple[Verdict, dict[str, Any]]:
     """Plays a bad day in a folder that is removed after it, or in `keep`."""
     _raise_file_limit()
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # or its processes live on
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
         return await Day(shape, keep, model, quiet, say).run()
