The node takes up tasks that an earlier process left; commands in offers

An agent that starts anew must count what runs, answer for it and tell what ended, without starting anything again. Node.restore and restore_ended; message numbers that go on above those given out before, so that what a placer asks for from its last number on is at once the acknowledgement of all before it; offers carry a command; an unsafe task that comes again where it ran is an error, not a refusal.

--- a/kelpfront/lab/fleet.py
+++ b/kelpfront/lab/fleet.py
@@ -15,7 +15,8 @@
 from kelpfront.lab.recording import Recorder
 from kelpfront.lab.standin import MachineModel, StandIn, TaskModel, boot_again
 from kelpfront.machine.admission import Capacity
-from kelpfront.machine.node import CopyBoard, NodeSettings
+from kelpfront.machine.copies import CopyBoard
+from kelpfront.machine.model import NodeSettings
 from kelpfront.machine.warmup import Warmup
 
 FaultKind = Literal[
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -16,8 +16,10 @@
 
 from kelpfront.http.server import Abort, HttpLimits, Request, Response
 from kelpfront.lab.recording import Recorder
+from kelpfront.machine.copies import CopyBoard
 from kelpfront.machine.messages import Answer, Gone, Heartbeat, Note, OfferRequest, Sequenced, encode
-from kelpfront.machine.node import Begin, CopyBoard, Halt, Node, NodeSettings
+from kelpfront.machine.model import Begin, Halt, NodeSettings
+from kelpfront.machine.node import Node
 from kelpfront.machine.server import STATUS_OF_ANSWER, MachineServer
 
 USE_PERIOD_S = 0.5
--- a/kelpfront/machine/messages.py
+++ b/kelpfront/machine/messages.py
@@ -43,12 +43,25 @@
     labels: dict[str, str] = {}
 
 
+class Command(Message, frozen=True):
+    """The process of a task. `argv` is not given to a shell; `env` is added to a plain environment.
+
+    `workdir` is absolute, or empty for a folder of the task's own. From SIGTERM to SIGKILL it has
+    `grace_ms` to stop.
+    """
+
+    argv: tuple[str, ...]
+    env: dict[str, str] = {}
+    workdir: str = ""
+    grace_ms: float = 10_000.0
+
+
 class Offer(Message, frozen=True):
     """One attempt to place one task.
 
     `task` is the task's uid, the same in all attempts; `attempt` counts them. `not_after` is when the placer
     will have given up: a machine starts nothing for it later. `key` names keyed work; of one key one copy
-    stands in a `group` of machines.
+    stands in a `group` of machines. `run` is there where the job says what its tasks run.
     """
 
     task: str
@@ -64,6 +77,7 @@
     needs_kind: str = ""
     key: str = ""
     group: Literal["none", "machine", "cell", "zone", "all"] = "none"
+    run: Command | None = None
 
 
 class OfferRequest(Message, frozen=True):
@@ -108,13 +122,16 @@
 
 
 class TaskReport(Message, frozen=True):
-    """A task as a machine holds it."""
+    """A task as a machine holds it; of an ended one, whether it ran and the CPU seconds that it used."""
 
     offer: Offer
     incarnation: str
     phase: TaskPhase
     cause: GoneCause | None = None
     exit_code: int | None = None
+    ran: bool = True
+    cpu_s: float | None = None
+    message: str = ""
 
 
 class Hello(Message, frozen=True, tag_field="t", tag="hello"):
@@ -159,6 +176,7 @@
     ran: bool
     exit_code: int | None = None
     message: str = ""
+    cpu_s: float | None = None
 
 
 class Note(Message, frozen=True, tag_field="t", tag="note"):
@@ -174,6 +192,7 @@
 Sequenced = Taken | Gone
 
 encode = msgspec.json.Encoder().encode
+decode_offer = msgspec.json.Decoder(Offer).decode
 decode_offer_request = msgspec.json.Decoder(OfferRequest).decode
 decode_stop_request = msgspec.json.Decoder(StopRequest).decode
 decode_answer = msgspec.json.Decoder(Answer).decode
--- a/kelpfront/machine/node.py
+++ b/kelpfront/machine/node.py
@@ -10,15 +10,14 @@
 import math
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TypeVar
+from typing import Literal
 
-from kelpfront.machine.admission import Capacity, Claim, evict, weigh
+from kelpfront.machine.admission import Claim, evict, weigh
+from kelpfront.machine.copies import Copies, CopyBoard
 from kelpfront.machine.messages import (
     NOT_HERE,
     QUEUE_FULL,
     Answer,
-    Gone,
     GoneCause,
     Heartbeat,
     Hello,
@@ -31,112 +30,15 @@
     StopRequest,
     TaskReport,
 )
+from kelpfront.machine.model import Begin, Effect, Ended, Halt, Held, NodeSettings, Reply
 from kelpfront.machine.outbox import Outbox
-from kelpfront.machine.warmup import Warmup
-
-K = TypeVar("K")
-V = TypeVar("V")
+from kelpfront.machine.telling import Telling, keep
 
+RAN_HERE = "RAN_HERE"  # the reason where an unsafe task comes again that ran here: an error, not a refusal
 START_FAILED = "START_FAILED"  # the reason where a task's process could not be made: it never ran
 
 ANSWERS_KEPT = 10_000  # answers given, so that an offer that comes again is answered alike
-ENDED_KEPT = 2_000  # ended tasks that a snapshot still tells of
 STOPS_KEPT = 2_000  # stops that came before their offer, as they may on another connection
-PLACERS_MOST = 1_000  # placers that this machine keeps an outbox for
-
-
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
-    """What a machine is and how it takes tasks."""
-
-    name: str
-    kind: str
-    rack: str
-    room: str
-    capacity: Capacity
-    line: int  # asks that may wait
-    parallel_starts: int
-    answers: str  # "running" or "accepted": when an offer is answered
-    pushes_out: bool
-    drain: str  # "none", "paced" or "at_once": whether a draining machine sends its tasks away
-    drain_pace_ms: float
-    kept_programs: int  # services whose program stays for a while after their last task
-    heartbeat_ms: float
-    warmup: Warmup
-    start_rate: float | None = None  # starts a millisecond that are begun at the most when warm
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Answer the offer of this attempt, on each connection that waits for it."""
-
-    task: str
-    attempt: int
-    answer: Answer
-
-
-@dataclass(frozen=True, slots=True)
-class Begin:
-    """Start the task. `dear` where the machine holds none of its service and has not kept the program."""
-
-    offer: Offer
-    placer: str
-    dear: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Halt:
-    """Stop a task that starts or runs; `exited` is told when it has gone."""
-
-    task: str
-    cause: GoneCause
-
-
-Effect = Reply | Begin | Halt
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """A task of which an offer came in and which is not over."""
-
-    offer: Offer
-    placer: str
-    incarnation: str
-    phase: str  # "line", "queued", "starting", "running" or "stopping"
-    since: float
-    replied: bool = False
-    cause: GoneCause = "ended"  # told when it has gone
-    used_cores: float = 0.0
-    used_memory: float = 0.0
-    blocked_by: set[str] = field(default_factory=set)  # tasks pushed out for it that have not gone yet
-
-    @property
-    def ran(self) -> bool:
-        return self.phase not in ("line", "queued")
-
-
-class CopyBoard:
-    """Which machine of a group holds the copy of a key; shared by the machines of the group."""
-
-    def __init__(self) -> None:
-        self._holders: dict[tuple[str, str], tuple[str, str]] = {}
-
-    def holder(self, group: str, key: str) -> tuple[str, str] | None:
-        """Machine and task of the copy that stands."""
-        return self._holders.get((group, key))
-
-    def put(self, group: str, key: str, machine: str, task: str) -> None:
-        self._holders[group, key] = machine, task
-
-    def remove(self, group: str, key: str, machine: str, task: str) -> None:
-        if self._holders.get((group, key)) == (machine, task):
-            del self._holders[group, key]
-
-    def remove_machine(self, machine: str) -> None:
-        """Forgets what a machine held that is dead."""
-        for place, (holder, _) in list(self._holders.items()):
-            if holder == machine:
-                del self._holders[place]
 
 
 class Node:
@@ -148,14 +50,16 @@
         boot: str,
         started_at: float,
         weigh_ms: Callable[[], float] = lambda: 0.0,
-        copies: CopyBoard | None = None,
+        copies: Copies | None = None,
+        first_seq: int = 1,
     ) -> None:
+        """`first_seq` is above all message numbers that an earlier process gave out in this life."""
         self.settings, self.boot, self.started_at = settings, boot, started_at
         self.draining = False
         self.other_cores = 0.0  # in use by programs that are not tasks
         self.other_memory = 0.0
         self._weigh_ms = weigh_ms
-        self._copies = copies or CopyBoard()
+        self._copies: Copies = copies or CopyBoard()
         self._held: dict[str, Held] = {}
         self._line: deque[Held] = deque()
         self._weighed_at = math.inf  # when the head of the line will have been weighed
@@ -167,8 +71,7 @@
         self._kept: OrderedDict[str, None] = OrderedDict()
         self._answers: OrderedDict[tuple[str, int], Answer] = OrderedDict()
         self._stops: OrderedDict[str, int] = OrderedDict()
-        self._ended: OrderedDict[str, tuple[str, TaskReport]] = OrderedDict()
-        self._outboxes: dict[str, Outbox] = {}
+        self._told = Telling(first_seq, lambda: {held.placer for held in self._held.values()})
         self._effects: list[Effect] = []
 
     # ---- What happens -----------------------------------------------------------------------------------
@@ -203,8 +106,8 @@
         """A placer no longer wants an attempt, or any earlier one of the task."""
         held = self._held.get(request.task)
         if held is None or held.offer.attempt > request.attempt:
-            if held is None and request.task not in self._ended:
-                _keep(self._stops, request.task, request.attempt, STOPS_KEPT)
+            if held is None and request.task not in self._told.ended:
+                keep(self._stops, request.task, request.attempt, STOPS_KEPT)
             return StopReply("unknown")
         if not held.ran:
             self._hand_back(now, held, "stopped", Answer("refused", NOT_HERE, "stopped by its placer"))
@@ -235,12 +138,19 @@
             self._reply(held, Answer("refused", START_FAILED, message, self.load()))
         self.advance(now)
 
-    def exited(self, now: float, task: str, exit_code: int | None = None) -> None:
-        """The task's process is gone, by itself or halted."""
+    def exited(
+        self,
+        now: float,
+        task: str,
+        exit_code: int | None = None,
+        cpu_s: float | None = None,
+        message: str = "",
+    ) -> None:
+        """The task's process is gone, by itself or halted. `cpu_s` is what it used, with its children."""
         held = self._held.get(task)
         if held is None or not held.ran:
             return
-        self._end(now, held, held.cause, ran=True, exit_code=exit_code)
+        self._end(now, held, held.cause, ran=True, exit_code=exit_code, cpu_s=cpu_s, message=message)
         if not held.replied:
             self._reply(held, Answer("error", "", "the task ended before its start was answered"))
         self.advance(now)
@@ -308,6 +218,43 @@
         effects, self._effects = self._effects, []
         return effects
 
+    # ---- What an earlier process left -------------------------------------------------------------------
+
+    def restore(
+        self,
+        now: float,
+        request: OfferRequest,
+        phase: Literal["starting", "running", "stopping"],
+        since: float,
+        cause: GoneCause = "ended",
+    ) -> None:
+        """A task that is on the machine already, from before this process: it is never begun here.
+
+        What it holds counts from now on, and whoever offers the same attempt gets the answer that it runs.
+        """
+        offer = request.offer
+        held = Held(offer, request.placer, request.incarnation, phase, min(since, now), cause=cause)
+        self._held[offer.task] = held
+        self._services[offer.service] += 1
+        if offer.key:
+            self._copies.claim(self._group(offer), offer.key, self.settings.name, offer.task)
+        if phase == "starting":
+            self._starting += 1
+        if phase == "running" or self.settings.answers == "accepted":
+            held.replied = True
+            answer = Answer("running" if phase == "running" else "accepted")
+            keep(self._answers, (offer.task, offer.attempt), answer, ANSWERS_KEPT)
+
+    def restore_ended(self, placer: str, report: TaskReport, seq: int) -> None:
+        """A task that is over; told in the next snapshot unless the placer has seen message `seq`."""
+        offer = report.offer
+        self._told.keep(Ended(placer, report, seq))
+        if report.ran:
+            answer = Answer("error", RAN_HERE, "it ran here and is over")
+        else:
+            answer = Answer("refused", START_FAILED, report.message)
+        keep(self._answers, (offer.task, offer.attempt), answer, ANSWERS_KEPT)
+
     # ---- What is told -----------------------------------------------------------------------------------
 
     @property
@@ -317,16 +264,7 @@
 
     def outbox(self, placer: str) -> Outbox:
         """The outbox to a placer, made at its first offer or stream."""
-        outbox = self._outboxes.get(placer)
-        if outbox is None:
-            if len(self._outboxes) >= PLACERS_MOST:
-                wanted = {held.placer for held in self._held.values()}
-                idle = next((name for name in self._outboxes if name not in wanted), None)
-                if idle is None:
-                    raise OverflowError(f"{PLACERS_MOST} placers have tasks here, which is the most")
-                del self._outboxes[idle]
-            outbox = self._outboxes[placer] = Outbox()
-        return outbox
+        return self._told.outbox(placer)
 
     def hello(self, now: float, placer: str, next_seq: int | None) -> Hello:
         """What a placer's stream begins with; `next_seq` is the first number that it has not seen."""
@@ -342,10 +280,17 @@
         )
 
     def snapshot(self, placer: str) -> Snapshot:
-        """All that is held for a placer, and what of its tasks ended not long ago."""
-        tasks = [report for owner, report in self._ended.values() if owner == placer]
-        tasks += [self._report(held) for held in self._held.values() if held.placer == placer]
-        return Snapshot(self.outbox(placer).next_seq - 1, tuple(tasks))
+        """All that is held for a placer, and what of its tasks ended that it has not heard of."""
+        held = [self._report(held) for held in self._held.values() if held.placer == placer]
+        return self._told.snapshot(placer, held)
+
+    def acknowledge(self, placer: str, next_seq: int) -> list[str]:
+        """A placer has seen all messages before a number; the ended tasks that need not be told again."""
+        return self._told.acknowledge(placer, next_seq)
+
+    def ended(self, task: str) -> Ended | None:
+        """What is still known of a task that is over."""
+        return self._told.ended.get(task)
 
     def heartbeat(self) -> Heartbeat:
         return Heartbeat("draining" if self.draining else "ready", self.load())
@@ -375,6 +320,10 @@
     def _refuse_at_once(self, offer: Offer) -> Answer | None:
         if self._stops.get(offer.task, -1) >= offer.attempt:
             return Answer("refused", NOT_HERE, "stopped by its placer before it came")
+        ended = self._told.ended.get(offer.task)
+        if offer.effect == "unsafe" and ended is not None and ended.report.ran:
+            # Only a placer that has lost its bearings asks so. A refusal would let it ask elsewhere.
+            return Answer("error", RAN_HERE, f"attempt {ended.report.offer.attempt} of it ran here")
         if self.draining:
             return Answer("refused", NOT_HERE, "draining", self.load())
         if offer.needs_kind and offer.needs_kind != self.settings.kind:
@@ -437,6 +386,11 @@
         if verdict.reason:
             self._refuse(held, Answer("refused", verdict.reason, verdict.message, self.load()))
             return
+        if offer.key:
+            stands = self._copies.claim(self._group(offer), offer.key, self.settings.name, offer.task)
+            if stands is not None:
+                self._refuse(held, Answer("refused", NOT_HERE, f"a copy stands on {stands[0]}"))
+                return
         for task in verdict.push_out:
             victim = self._held[task]
             if victim.ran:
@@ -446,8 +400,6 @@
                 self._hand_back(now, victim, "pushed-out", Answer("refused", NOT_HERE, "pushed out"))
         held.phase, held.since = "queued", now
         self._queue.append(held)
-        if offer.key:
-            self._copies.put(self._group(offer), offer.key, self.settings.name, offer.task)
         if self.settings.answers == "accepted":
             self.outbox(held.placer).taken(offer.task, offer.attempt, running=False)
             self._reply(held, Answer("accepted", load=self.load()))
@@ -499,7 +451,7 @@
         if not held.replied:
             self._reply(held, answer)
             return
-        self._tell_gone(held, cause, ran=False)
+        self._tell_gone(held, TaskReport(held.offer, held.incarnation, "ended", cause, None, False))
 
     def _halt(self, held: Held, cause: GoneCause) -> None:
         if held.phase == "stopping":
@@ -517,6 +469,7 @@
         *,
         ran: bool,
         exit_code: int | None = None,
+        cpu_s: float | None = None,
         message: str = "",
     ) -> None:
         """A task that began is gone."""
@@ -527,21 +480,15 @@
         if not self._services[offer.service]:
             del self._services[offer.service]
             if ran and self.settings.kept_programs:
-                _keep(self._kept, offer.service, None, self.settings.kept_programs)
+                keep(self._kept, offer.service, None, self.settings.kept_programs)
         self._forget(held)
         for other in self._queue:
             other.blocked_by.discard(offer.task)
-        self._tell_gone(held, cause, ran=ran, exit_code=exit_code, message=message)
+        report = TaskReport(offer, held.incarnation, "ended", cause, exit_code, ran, cpu_s, message)
+        self._tell_gone(held, report)
 
-    def _tell_gone(
-        self, held: Held, cause: GoneCause, *, ran: bool, exit_code: int | None = None, message: str = ""
-    ) -> None:
-        offer = held.offer
-        report = TaskReport(offer, held.incarnation, "ended", cause, exit_code)
-        _keep(self._ended, offer.task, (held.placer, report), ENDED_KEPT)
-        self.outbox(held.placer).gone(
-            lambda seq: Gone(seq, offer.task, offer.attempt, cause, ran, exit_code, message)
-        )
+    def _tell_gone(self, held: Held, report: TaskReport) -> None:
+        self._told.gone(held.placer, report)
 
     def _forget(self, held: Held) -> None:
         offer = held.offer
@@ -568,7 +515,7 @@
         self._answer(held.offer, answer)
 
     def _answer(self, offer: Offer, answer: Answer) -> None:
-        _keep(self._answers, (offer.task, offer.attempt), answer, ANSWERS_KEPT)
+        keep(self._answers, (offer.task, offer.attempt), answer, ANSWERS_KEPT)
         self._effects.append(Reply(offer.task, offer.attempt, answer))
 
     def _claim(self, held: Held) -> Claim:
@@ -590,11 +537,3 @@
             case "cell":
                 return f"{settings.room}/{settings.rack}"
         return f"{settings.room}/{settings.rack}/{settings.name}"
-
-
-def _keep(kept: OrderedDict[K, V], key: K, value: V, most: int) -> None:
-    """Puts in a bounded memory; the oldest go."""
-    kept[key] = value
-    kept.move_to_end(key)
-    while len(kept) > most:
-        kept.popitem(last=False)
--- a/kelpfront/machine/outbox.py
+++ b/kelpfront/machine/outbox.py
@@ -20,11 +20,11 @@
 
 
 class Outbox:
-    """To one placer. Numbers start at 1 and grow by one."""
+    """To one placer. Numbers start at `first` and grow by one."""
 
-    def __init__(self, history: int = HISTORY, notes: int = NOTES) -> None:
+    def __init__(self, first: int = 1, history: int = HISTORY, notes: int = NOTES) -> None:
         self._kept: deque[Sequenced] = deque(maxlen=history)
-        self._next = 1
+        self._next = first
         self._notes: deque[Note] = deque(maxlen=notes)
         self.on_change: Callable[[], None] = lambda: None
 
--- a/kelpfront/machine/server.py
+++ b/kelpfront/machine/server.py
@@ -22,7 +22,8 @@
     decode_stop_request,
     encode,
 )
-from kelpfront.machine.node import Begin, Halt, Node, Reply
+from kelpfront.machine.model import Begin, Halt, Reply
+from kelpfront.machine.node import Node
 
 STATUS_OF_ANSWER = {"running": 200, "accepted": 200, "refused": 409, "error": 500}
 
@@ -166,6 +167,8 @@
         boot = request.query.get("boot", "")
         if boot and boot != self.node.boot:
             first = None  # numbers of an earlier life mean nothing now
+        elif first is not None:
+            self.acknowledged(placer, self.node.acknowledge(placer, first))
         wake = asyncio.Event()
         older = self._streams.get(placer)
         self._streams[placer] = wake
@@ -240,6 +243,9 @@
         """What placers are told of the machine's state and room."""
         return self.node.heartbeat()
 
+    def acknowledged(self, placer: str, tasks: list[str]) -> None:
+        """A hook: the placer has heard that these tasks are over."""
+
     def streamed(self, placer: str, message: Heartbeat | Sequenced) -> None:
         """A hook: the placer's stream carries this message now."""
 
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -5,8 +5,10 @@
 from typing import Any, TypeVar
 
 from kelpfront.machine.admission import Capacity
+from kelpfront.machine.copies import CopyBoard
 from kelpfront.machine.messages import Answer, JobRef, Offer, OfferRequest, StopRequest
-from kelpfront.machine.node import Begin, CopyBoard, Effect, Halt, Node, NodeSettings, Reply
+from kelpfront.machine.model import Begin, Effect, Halt, NodeSettings, Reply
+from kelpfront.machine.node import Node
 from kelpfront.machine.warmup import Warmup
 
 E = TypeVar("E", bound=Effect)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -46,7 +46,7 @@
 }
 PURE = ("api", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
 """Parts that do no I/O and read no clock."""
-PURE_MACHINE = ("admission", "messages", "node", "outbox", "warmup")
+PURE_MACHINE = ("admission", "copies", "messages", "model", "node", "outbox", "telling", "warmup")
 IMPURE = {"asyncio", "socket", "time", "threading", "subprocess", "select", "uuid", "secrets"}
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 
 from kelpfront.http.client import HttpConnection, NoAnswerError
 from kelpfront.machine.admission import Capacity, Claim, evict, weigh
+from kelpfront.machine.copies import CopyBoard
 from kelpfront.machine.messages import (
     Answer,
     Gone,
@@ -26,7 +27,8 @@
     decode_stream_message,
     encode,
 )
-from kelpfront.machine.node import Begin, CopyBoard, Halt, Node
+from kelpfront.machine.model import Begin, Halt
+from kelpfront.machine.node import Node
 from kelpfront.machine.outbox import Outbox
 from kelpfront.machine.server import MachineServer
 from kelpfront.machine.warmup import Warmup
@@ -371,7 +373,7 @@
 ) -> None:
     """Whatever is cut and lost, numbered messages and snapshots together show each task's last state."""
     driver = NodeDriver(line=100, capacity=Capacity(1000, 1000, 2, 2))
-    driver.node._outboxes["p0"] = Outbox(history=4)
+    driver.node._told._outboxes["p0"] = Outbox(history=4)
     known: dict[str, bool] = {}
     first: int | None = None
 
