Jobs say what their tasks run: command, env, workdir and a grace for stopping

Machines that start real processes need to be told which. The spec's new fields are checked with what is allowed, offers carry them, a placer that starts anew shows them again; exit codes gain the CPU seconds that a task used.

--- a/kelpfront/api/jobs.py
+++ b/kelpfront/api/jobs.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import re
 from enum import StrEnum
 from typing import Annotated, Any, Literal
 
-from pydantic import AfterValidator, Field, TypeAdapter, WithJsonSchema
+from pydantic import AfterValidator, Field, TypeAdapter, WithJsonSchema, model_validator
 
 from kelpfront.api.meta import API_VERSION, ApiModel, ObjectMeta
 from kelpfront.units import DURATION_FORM, format_duration, parse_duration
@@ -31,6 +32,36 @@
 ]
 
 
+MAX_ARGV, MAX_ENV = 256, 100  # entries of a command and of its environment
+MAX_RUN_BYTES = 32_768  # of a command with its environment, in UTF-8: offers carry it
+
+
+def _no_nul(text: str) -> str:
+    if "\0" in text:
+        raise ValueError("has a NUL character, which no process can be given")
+    return text
+
+
+def _env_name(text: str) -> str:
+    if not _ENV_NAME.fullmatch(text):
+        raise ValueError(f"{text!r} is not a name: letters, digits and '_', the first no digit")
+    if text.startswith("KELPFRONT_"):
+        raise ValueError(f"{text!r}: names that begin with KELPFRONT_ are the machine's to set")
+    return text
+
+
+def _absolute(text: str) -> str:
+    if not text.startswith("/"):
+        raise ValueError(f"{text!r} is not an absolute path")
+    return _no_nul(text)
+
+
+_ENV_NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_]{0,127}")
+Argument = Annotated[str, AfterValidator(_no_nul)]
+EnvName = Annotated[str, AfterValidator(_env_name)]
+Folder = Annotated[str, Field(max_length=4096), AfterValidator(_absolute)]
+
+
 class TaskState(StrEnum):
     """Where a task is. Refused, Failed, Ended and Lost are ends, but see `found` of a failed task."""
 
@@ -91,6 +122,45 @@
         max_length=128,
         description="Chosen by the client: a POST with a known token answers with the job that has it.",
     )
+    command: tuple[Argument, ...] | None = Field(
+        None,
+        min_length=1,
+        max_length=MAX_ARGV,
+        description="What each task runs: a program and its arguments, not given to a shell. "
+        "Machines with an agent run only tasks that have one.",
+    )
+    env: dict[EnvName, Argument] | None = Field(
+        None, max_length=MAX_ENV, description="Variables of its environment; the machine adds KELPFRONT_*."
+    )
+    workdir: Folder | None = Field(
+        None, description="Where it runs: an absolute path; a folder of the task's own if absent."
+    )
+    stop_grace: Duration | None = Field(
+        None, description="From SIGTERM to SIGKILL when it is stopped; 10s if absent."
+    )
+
+    @model_validator(mode="after")
+    def _runs(self) -> JobSpec:
+        if self.command is None:
+            given = [
+                name
+                for name, value in (
+                    ("env", self.env),
+                    ("workdir", self.workdir),
+                    ("stopGrace", self.stop_grace),
+                )
+                if value is not None
+            ]
+            if given:
+                raise ValueError(f"{', '.join(given)}: allowed only beside a command")
+            return self
+        if not self.command[0]:
+            raise ValueError("command: its first word, the program, is empty")
+        texts = [*self.command, *(self.env or {}), *(self.env or {}).values()]
+        size = sum(len(text.encode("utf-8", "surrogatepass")) for text in texts)
+        if size > MAX_RUN_BYTES:
+            raise ValueError(f"command and env: {size} bytes together; {MAX_RUN_BYTES} are allowed")
+        return self
 
 
 class Attempt(ApiModel):
@@ -116,7 +186,12 @@
     machine: str | None = Field(None, description="Where it is or was placed.")
     reason: str | None = Field(None, description="Why it was refused, failed or lost.")
     retry_after: str | None = Field(None, description="Of a refusal: how long to stay away.")
-    exit_code: int | None = None
+    exit_code: int | None = Field(
+        None, description="Of its process; 128 and the signal's number where a signal ended it."
+    )
+    cpu_seconds: float | None = Field(
+        None, description="CPU time that its processes used, where the machine tells it."
+    )
     attempts: tuple[Attempt, ...] = ()
     created_at: str
     answered_at: str | None = None
@@ -163,5 +238,17 @@
 
 JOB_INPUT: TypeAdapter[JobInput] = TypeAdapter(JobInput)
 
-FIXED_SPEC_FIELDS = ("class", "service", "cores", "memory", "patience", "key", "clientToken")
+FIXED_SPEC_FIELDS = (
+    "class",
+    "service",
+    "cores",
+    "memory",
+    "patience",
+    "key",
+    "clientToken",
+    "command",
+    "env",
+    "workdir",
+    "stopGrace",
+)
 """What of a job's spec cannot be changed once tasks were made of it."""
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -29,6 +29,7 @@
 from kelpfront.placer.cluster import Cluster
 from kelpfront.placer.directory import Changes, Directory, Entry
 from kelpfront.placer.intents import AbandonOffer, Intent, LogLine, SendOffer, SendProbe, SendStop
+from kelpfront.placer.offers import job_of, make_offer
 from kelpfront.placer.strays import Verdict, judge
 from kelpfront.placer.tasks import OVER, Attempt, Job, Task
 from kelpfront.rules import Scheduler
@@ -486,7 +487,7 @@
         if attempt is None or not attempt.open or attempt.host != host:
             return
         if attempt.placed:
-            self._over(now, attempt, message.cause, message.exit_code, message.message)
+            self._over(now, attempt, message.cause, message.exit_code, message.message, message.cpu_s)
         elif not message.ran:
             reason = ENDS[message.cause][1]
             self._close(
@@ -514,8 +515,11 @@
                 report = None
             if report is None or report.phase == "ended":
                 if attempt.placed:
-                    cause = (report.cause or "lost") if report is not None else "lost"
-                    self._over(now, attempt, cause, report.exit_code if report else None)
+                    if report is None:
+                        self._over(now, attempt, "lost")
+                    else:
+                        cause = report.cause or "lost"
+                        self._over(now, attempt, cause, report.exit_code, report.message, report.cpu_s)
             elif report.phase == "running" or attempt.placed:
                 self._placed(now, attempt, report.phase == "running")
         for uid, report in reports.items():
@@ -561,22 +565,7 @@
         self._adopt(now, task, entry, offer.attempt, report.phase == "running")
 
     def _found_job(self, now: float, offer: wire.Offer, cls: int) -> Job:
-        ref = offer.job
-        namespace, _, service = offer.service.partition("/")
-        spec = {
-            "class": offer.cls,
-            "service": service,
-            "cores": offer.cores,
-            "memory": offer.memory,
-            "count": ref.count,
-            "patience": format_duration(self.cluster.settings.classes[cls].deadline_ms),
-        }
-        if offer.key:
-            spec["key"] = offer.key.removeprefix(f"{namespace}/").rpartition("/")[0]
-        if ref.token:
-            spec["clientToken"] = ref.token
-        patience = self.cluster.settings.classes[cls].deadline_ms
-        job = Job(ref.namespace, ref.name, ref.uid, spec, dict(ref.labels), {}, now, cls, patience)
+        job = job_of(self.cluster, cls, offer, now)
         self.store.create(JOBS, job.key, job.render())
         self._jobs[job.key] = job
         if job.token:
@@ -681,6 +670,7 @@
         cause: wire.GoneCause,
         exit_code: int | None = None,
         message: str = "",
+        cpu_s: float | None = None,
     ) -> None:
         """A placed task is over."""
         task = attempt.task
@@ -690,7 +680,7 @@
             entry.tasks -= 1
         if task.reason == "MOVED":
             lost = "MOVED"
-        task.exit_code = exit_code
+        task.exit_code, task.cpu_s = exit_code, cpu_s
         if not task.withdrawn:
             if lost:
                 task.reason = lost
@@ -826,29 +816,7 @@
         task.move(now, S.PLACING)
         self._dirty[task.job] = None
         self._set_timer(attempt.timeout_at, lambda then: self._timed_out(then, attempt))
-        self._intents.append(SendOffer(entry.name, self._offer(task, attempt)))
-
-    def _offer(self, task: Task, attempt: Attempt) -> wire.Offer:
-        job, cls = task.job, self._class(task)
-        spec = job.spec
-        key = spec.get("key")
-        return wire.Offer(
-            task=task.uid,
-            attempt=attempt.wire,
-            job=wire.JobRef(
-                job.namespace, job.name, job.uid, task.index, spec["count"], job.token, job.labels
-            ),
-            cls=cls.name,
-            service=f"{job.namespace}/{spec['service']}",
-            cores=spec["cores"],
-            memory=spec["memory"],
-            effect=cls.effect.value,
-            not_after=attempt.timeout_at,
-            priority=cls.priority,
-            needs_kind=self.cluster.needs_kind(cls),
-            key="" if key is None else f"{job.namespace}/{key}/{task.index}",
-            group=cls.group.value if cls.effect is api.Effect.KEYED else "none",
-        )
+        self._intents.append(SendOffer(entry.name, make_offer(self.cluster, task, attempt)))
 
     def _final(self, now: float, number: api.TaskId, state: TaskState, wait_ms: float) -> None:
         task = self._numbers.get(number)
--- a/kelpfront/placer/tasks.py
+++ b/kelpfront/placer/tasks.py
@@ -90,6 +90,7 @@
     reason: str = ""
     retry_after_ms: float = 0.0
     exit_code: int | None = None
+    cpu_s: float | None = None
     attempts: list[Attempt] = field(default_factory=list)
     answered_at: float | None = None
     running_at: float | None = None
@@ -147,6 +148,8 @@
             shown["retryAfter"] = format_duration(round(self.retry_after_ms))
         if self.exit_code is not None:
             shown["exitCode"] = self.exit_code
+        if self.cpu_s is not None:
+            shown["cpuSeconds"] = round(self.cpu_s, 3)
         for name, at in (
             ("answeredAt", self.answered_at),
             ("runningAt", self.running_at),
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -22,6 +22,7 @@
 from kelpfront.lab.recording import Line, Recorder, host_clock
 from kelpfront.placer.heart import Heart
 from kelpfront.placer.intents import SendOffer
+from kelpfront.placer.offers import make_offer
 from kelpfront.placer.tasks import Attempt, Task
 
 FIGURES = Figures(
@@ -264,7 +265,8 @@
         old = task.attempts[-1]
         late = Attempt(task, 7, 7, old.host, old.machine, now, 1e18, sent_at=None)
         self._set_timer(
-            now + 600.0, lambda then: self._intents.append(SendOffer(old.host, self._offer(task, late)))
+            now + 600.0,
+            lambda then: self._intents.append(SendOffer(old.host, make_offer(self.cluster, task, late))),
         )
 
     def clear_to_send(self, now: float, uid: str, wire_number: int) -> bool:
@@ -295,7 +297,7 @@
         first = task.attempts[-1]
         other = next(e for e in self.directory.entries.values() if e.name != first.host)
         second = Attempt(task, 9, 9, other.name, other.number, now, first.timeout_at)
-        self._intents.append(SendOffer(other.name, self._offer(task, second)))
+        self._intents.append(SendOffer(other.name, make_offer(self.cluster, task, second)))
 
     def clear_to_send(self, now: float, uid: str, wire_number: int) -> bool:
         return wire_number == 9 or super().clear_to_send(now, uid, wire_number)
