--- a/kelpfront/config/reader.py
+++ b/kelpfront/config/reader.py
@@ -58,17 +58,90 @@
 
 def read_config(path: Path, overrides: Iterable[str] = ()) -> Config:
     """The settings of a file, with `SECTION.KEY=VALUE` put over them; ConfigError names all mistakes."""
+    return parse_config(read_text(path), str(path), overrides)
+
+
+def read_text(path: Path) -> str:
+    """A settings file's text; ConfigError where it cannot be read."""
     try:
-        text = path.read_text(encoding="utf-8-sig")
+        return path.read_text(encoding="utf-8-sig")
     except OSError as error:
         raise ConfigError([ConfigProblem(str(path), 0, "", "", error.strerror or str(error))]) from None
     except UnicodeDecodeError as error:
         raise ConfigError([ConfigProblem(str(path), 0, "", "", f"is not UTF-8: {error.reason}")]) from None
-    return parse_config(text, str(path), overrides)
 
 
 def parse_config(text: str, source: str, overrides: Iterable[str] = ()) -> Config:
     """As `read_config`, of text."""
+    sections = IniSections(text, source, overrides)
+    found = sections.read(PLAIN_SECTIONS, NAMED_SECTIONS)
+    problem = sections.problem
+    for name, cls in found.get("classes", {}).items():
+        wanted = None if cls is None else cls.needs_kind
+        if wanted is not None and wanted not in found.get("kinds", {}):
+            kinds = ", ".join(found.get("kinds", {}))
+            problem(f"class {name}", "needs_kind", f"{wanted!r} is no kind", kinds)
+    placer, cluster = found.get("placer", PlacerSection()), found.get("cluster", ClusterSection())
+    if placer is not None and cluster is not None and placer.number >= cluster.placers:
+        problem("placer", "number", f"{placer.number} of {cluster.placers} placers", "less than their number")
+    sections.check()
+    return Config(**found)
+
+
+class IniSections:
+    """The sections of a settings file, with what is put over them, and the mistakes found in them."""
+
+    def __init__(self, text: str, source: str, overrides: Iterable[str] = ()) -> None:
+        self._source, self._lines = source, _lines(text)
+        self.problems: list[ConfigProblem] = []
+        self._overridden: set[tuple[str, str]] = set()
+        self._sections = _parsed(text, source)
+        for override in overrides:
+            place, equals, value = override.partition("=")
+            section, dot, key = place.rpartition(".")
+            if not (equals and dot and section.strip() and key.strip()):
+                message = f"{override!r} is not SECTION.KEY=VALUE"
+                self.problems.append(ConfigProblem(COMMAND_LINE, 0, "", "", message))
+                continue
+            self._sections.setdefault(section.strip(), {})[key.strip()] = value.strip()
+            self._overridden.add((section.strip(), key.strip()))
+
+    def problem(self, section: str, key: str, message: str, allowed: str = "") -> None:
+        if (section, key) in self._overridden:
+            self.problems.append(ConfigProblem(COMMAND_LINE, 0, section, key, message, allowed))
+        else:
+            line = self._lines.get((section, key)) or self._lines.get((section, ""), 0)
+            self.problems.append(ConfigProblem(self._source, line, section, key, message, allowed))
+
+    def read(
+        self,
+        plain: Mapping[str, type[Section]],
+        named: Mapping[str, tuple[str, type[Section]]],
+    ) -> dict[str, Any]:
+        """Sections as their models; one with a mistake is None."""
+        found: dict[str, Any] = {}
+        for name, values in self._sections.items():
+            kind, _, label = name.partition(" ")
+            if name in plain:
+                found[name] = _section(plain[name], name, values, self.problem)
+            elif kind in named and label.strip():
+                field, model = named[kind]
+                found.setdefault(field, {})[label.strip()] = _section(model, name, values, self.problem)
+            else:
+                known = [*plain, *(f"{kind} NAME" for kind in named)]
+                self.problem(name, "", "unknown section", ", ".join(f"[{one}]" for one in known))
+        for kind, (field, _) in named.items():
+            if field not in found:
+                self.problem("", "", f"no [{kind} NAME] section; at least one is needed")
+        return found
+
+    def check(self) -> None:
+        """ConfigError where there are mistakes."""
+        if self.problems:
+            raise ConfigError(self.problems)
+
+
+def _parsed(text: str, source: str) -> dict[str, dict[str, str]]:
     parser = configparser.ConfigParser(
         interpolation=None,
         delimiters=("=",),
@@ -80,52 +153,7 @@
         parser.read_string(text, source)
     except configparser.Error as error:
         raise ConfigError(_syntax(error, source)) from None
-    sections: dict[str, dict[str, str]] = {name: dict(parser.items(name)) for name in parser.sections()}
-    problems: list[ConfigProblem] = []
-    overridden: set[tuple[str, str]] = set()
-    for override in overrides:
-        place, equals, value = override.partition("=")
-        section, dot, key = place.rpartition(".")
-        if not (equals and dot and section.strip() and key.strip()):
-            message = f"{override!r} is not SECTION.KEY=VALUE"
-            problems.append(ConfigProblem(COMMAND_LINE, 0, "", "", message))
-            continue
-        sections.setdefault(section.strip(), {})[key.strip()] = value.strip()
-        overridden.add((section.strip(), key.strip()))
-    lines = _lines(text)
-
-    def problem(section: str, key: str, message: str, allowed: str = "") -> None:
-        if (section, key) in overridden:
-            problems.append(ConfigProblem(COMMAND_LINE, 0, section, key, message, allowed))
-        else:
-            line = lines.get((section, key)) or lines.get((section, ""), 0)
-            problems.append(ConfigProblem(source, line, section, key, message, allowed))
-
-    found: dict[str, Any] = {}
-    for name, values in sections.items():
-        kind, _, label = name.partition(" ")
-        if name in PLAIN_SECTIONS:
-            found[name] = _section(PLAIN_SECTIONS[name], name, values, problem)
-        elif kind in NAMED_SECTIONS and label.strip():
-            field, model = NAMED_SECTIONS[kind]
-            found.setdefault(field, {})[label.strip()] = _section(model, name, values, problem)
-        else:
-            known = [*PLAIN_SECTIONS, *(f"{kind} NAME" for kind in NAMED_SECTIONS)]
-            problem(name, "", "unknown section", ", ".join(f"[{one}]" for one in known))
-    for kind, (field, _) in NAMED_SECTIONS.items():
-        if field not in found:
-            problem("", "", f"no [{kind} NAME] section; at least one is needed")
-    for name, cls in found.get("classes", {}).items():
-        wanted = None if cls is None else cls.needs_kind
-        if wanted is not None and wanted not in found.get("kinds", {}):
-            kinds = ", ".join(found.get("kinds", {}))
-            problem(f"class {name}", "needs_kind", f"{wanted!r} is no kind", kinds)
-    placer, cluster = found.get("placer", PlacerSection()), found.get("cluster", ClusterSection())
-    if placer is not None and cluster is not None and placer.number >= cluster.placers:
-        problem("placer", "number", f"{placer.number} of {cluster.placers} placers", "less than their number")
-    if problems:
-        raise ConfigError(problems)
-    return Config(**found)
+    return {name: dict(parser.items(name)) for name in parser.sections()}
 
 
 def _section(model: type[Section], name: str, values: Mapping[str, str], problem: Any) -> Section | None:
@@ -235,14 +263,16 @@
 
 def example() -> str:
     """A whole settings file with every key, its default, its bounds and its meaning."""
-    parts = [
-        "# Settings of a kelpfront placer. Every key is shown; those with '#' before them have the default."
-    ]
-    for name, model in PLAIN_SECTIONS.items():
-        parts.append(_example_section(name, model, {}))
+    sections = [(name, model, dict[str, str]()) for name, model in PLAIN_SECTIONS.items()]
     for name, values in EXAMPLE_VALUES.items():
-        parts.append(_example_section(name, NAMED_SECTIONS[name.partition(" ")[0]][1], values))
-    return "\n\n".join(parts) + "\n"
+        sections.append((name, NAMED_SECTIONS[name.partition(" ")[0]][1], values))
+    return commented("a kelpfront placer", sections)
+
+
+def commented(of: str, sections: Iterable[tuple[str, type[Section], Mapping[str, str]]]) -> str:
+    """A settings file with every key of some sections; the values given are set, the rest commented out."""
+    head = f"# Settings of {of}. Every key is shown; those with '#' before them have the default."
+    return "\n\n".join([head, *(_example_section(*section) for section in sections)]) + "\n"
 
 
 def _example_section(name: str, model: type[Section], values: Mapping[str, str]) -> str:
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -18,7 +18,7 @@
 from kelpfront.lab.recording import Recorder
 from kelpfront.machine.copies import CopyBoard
 from kelpfront.machine.messages import Answer, Gone, Heartbeat, Note, OfferRequest, Sequenced, encode
-from kelpfront.machine.model import Begin, Halt, NodeSettings
+from kelpfront.machine.model import Begin, Halt, NodeSettings, TakeOver
 from kelpfront.machine.node import Node
 from kelpfront.machine.server import STATUS_OF_ANSWER, MachineServer
 
@@ -382,6 +382,9 @@
         self.node.exited(self.now(), task, 0 if held.cause == "ended" else None)
         self.server.changed()
 
+    def take_over(self, copy: TakeOver) -> None:
+        self.node.taken_over(self.now(), copy.offer.task, copy.offer.attempt)
+
     def halt(self, halt: Halt) -> None:
         self._later(self.model.stop_ms / 1000.0, self._exit, halt.task)
 
--- a/kelpfront/machine/model.py
+++ b/kelpfront/machine/model.py
@@ -56,7 +56,16 @@
     cause: GoneCause
 
 
-Effect = Reply | Begin | Halt
+@dataclass(frozen=True, slots=True)
+class TakeOver:
+    """A copy that starts or runs is a later attempt's from now on; `taken_over` is told once it is noted."""
+
+    offer: Offer
+    placer: str
+    incarnation: str
+
+
+Effect = Reply | Begin | Halt | TakeOver
 
 
 @dataclass(slots=True, eq=False)
--- a/kelpfront/machine/node.py
+++ b/kelpfront/machine/node.py
@@ -30,7 +30,7 @@
     StopRequest,
     TaskReport,
 )
-from kelpfront.machine.model import Begin, Effect, Ended, Halt, Held, NodeSettings, Reply
+from kelpfront.machine.model import Begin, Effect, Ended, Halt, Held, NodeSettings, Reply, TakeOver
 from kelpfront.machine.outbox import Outbox
 from kelpfront.machine.telling import Telling, keep
 
@@ -71,6 +71,7 @@
         self._kept: OrderedDict[str, None] = OrderedDict()
         self._answers: OrderedDict[tuple[str, int], Answer] = OrderedDict()
         self._stops: OrderedDict[str, int] = OrderedDict()
+        self.first_seq = first_seq
         self._told = Telling(first_seq, lambda: {held.placer for held in self._held.values()})
         self._effects: list[Effect] = []
 
@@ -128,6 +129,30 @@
             self._reply(held, Answer("running", load=self.load()))
         self.advance(now)
 
+    def taken_over(self, now: float, task: str, attempt: int) -> None:
+        """It is noted that a copy is a later attempt's: that one can be answered."""
+        held = self._held.get(task)
+        if held is None or held.offer.attempt != attempt or held.replied:
+            return
+        if held.phase == "running":
+            self.outbox(held.placer).taken(task, attempt, running=True)
+            self._reply(held, Answer("running", load=self.load()))
+        elif held.phase == "starting" and self.settings.answers == "accepted":
+            self.outbox(held.placer).taken(task, attempt, running=False)
+            self._reply(held, Answer("accepted", load=self.load()))
+        self.advance(now)
+
+    def give_up(self, now: float, placer: str, cause: GoneCause) -> int:
+        """Stops all tasks of a placer that is not coming back; how many there were."""
+        its = [held for held in self._held.values() if held.placer == placer and held.phase != "stopping"]
+        for held in its:
+            if held.ran:
+                self._halt(held, cause)
+            else:
+                self._hand_back(now, held, cause, Answer("refused", NOT_HERE, "its placer is away"))
+        self.advance(now)
+        return len(its)
+
     def start_failed(self, now: float, task: str, message: str) -> None:
         """The task's process could not be made; it never ran."""
         held = self._held.get(task)
@@ -288,6 +313,11 @@
         """A placer has seen all messages before a number; the ended tasks that need not be told again."""
         return self._told.acknowledge(placer, next_seq)
 
+    def acknowledge_task(self, task: str) -> None:
+        """As `acknowledge`, of one task, by what an earlier process knew."""
+        if (ended := self._told.ended.get(task)) is not None:
+            ended.acknowledged = True
+
     def ended(self, task: str) -> Ended | None:
         """What is still known of a task that is over."""
         return self._told.ended.get(task)
@@ -353,12 +383,7 @@
             self._answer(old, Answer("error", "", "a later attempt took the copy over"))
         held.offer, held.placer, held.incarnation = new, request.placer, request.incarnation
         held.replied = False
-        if held.phase == "running":
-            self.outbox(held.placer).taken(new.task, new.attempt, running=True)
-            self._reply(held, Answer("running", load=self.load()))
-        elif self.settings.answers == "accepted":
-            self.outbox(held.placer).taken(new.task, new.attempt, running=False)
-            self._reply(held, Answer("accepted", load=self.load()))
+        self._effects.append(TakeOver(new, request.placer, request.incarnation))
         return False
 
     def _decide(self, now: float, held: Held) -> None:
--- a/kelpfront/machine/server.py
+++ b/kelpfront/machine/server.py
@@ -22,7 +22,7 @@
     decode_stop_request,
     encode,
 )
-from kelpfront.machine.model import Begin, Halt, Reply
+from kelpfront.machine.model import Begin, Effect, Halt, Reply, TakeOver
 from kelpfront.machine.node import Node
 
 STATUS_OF_ANSWER = {"running": 200, "accepted": 200, "refused": 409, "error": 500}
@@ -35,6 +35,9 @@
 
     def halt(self, halt: Halt) -> None: ...
 
+    def take_over(self, copy: TakeOver) -> None:
+        """The node is to be told `taken_over`; this may be done at once."""
+
 
 class MachineServer:
     """Serves one node. All calls are from the event loop's thread."""
@@ -74,7 +77,16 @@
 
     def changed(self) -> None:
         """Carry out the node's effects; to be called after anything was told to the node."""
-        for effect in self.node.take_effects():
+        while effects := self.node.take_effects():  # a runtime may tell the node something at once
+            self._carry_out(effects)
+        if self.node.draining != self._draining:
+            self._draining = self.node.draining
+            for wake in self._streams.values():
+                wake.set()  # placers must not hear of a drain a heartbeat late
+        self._set_timer()
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
             match effect:
                 case Reply(task, attempt, answer):
                     for future in self._answers.pop((task, attempt), ()):
@@ -84,11 +96,8 @@
                     self._runtime.begin(effect)
                 case Halt():
                     self._runtime.halt(effect)
-        if self.node.draining != self._draining:
-            self._draining = self.node.draining
-            for wake in self._streams.values():
-                wake.set()  # placers must not hear of a drain a heartbeat late
-        self._set_timer()
+                case TakeOver():
+                    self._runtime.take_over(effect)
 
     def _set_timer(self) -> None:
         if self._timer is not None:
--- a/kelpfront/service/links.py
+++ b/kelpfront/service/links.py
@@ -65,7 +65,7 @@
         self._jobs: set[asyncio.Task[None]] = set()
         self._stop_turns = asyncio.Semaphore(STOPS_AT_ONCE)
         self._backoff = Backoff(rng)
-        self._boot, self._next_seq = "", 0
+        self._boot, self._life, self._next_seq = "", "", 0
         self._stream = self._spawn(self._follow())
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -207,11 +207,14 @@
         match message:
             case Hello():
                 self._backoff.worked()
-                self._boot = message.boot
+                # Unless it resumes, nothing is known of this life until its snapshot is here: a stream that
+                # breaks between the two must not be taken up again behind what the snapshot would have told.
+                self._boot = message.boot if message.resumed else ""
+                self._life = message.boot
                 self._next_seq = message.next_seq
                 log.info("stream up", machine=self.host, boot=message.boot, resumed=message.resumed)
             case Snapshot(seq):
-                self._next_seq = seq + 1
+                self._boot, self._next_seq = self._life, seq + 1
             case Taken(seq) | Gone(seq):
                 if seq < self._next_seq:
                     return  # told before the break
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -7,7 +7,7 @@
 from kelpfront.machine.admission import Capacity
 from kelpfront.machine.copies import CopyBoard
 from kelpfront.machine.messages import Answer, JobRef, Offer, OfferRequest, StopRequest
-from kelpfront.machine.model import Begin, Effect, Halt, NodeSettings, Reply
+from kelpfront.machine.model import Begin, Effect, Halt, NodeSettings, Reply, TakeOver
 from kelpfront.machine.node import Node
 from kelpfront.machine.warmup import Warmup
 
@@ -74,6 +74,8 @@
                         self.begun.append(effect)
                         if self.at_once:
                             self.node.started(self.now, effect.offer.task)
+                    case TakeOver(taken):
+                        self.node.taken_over(self.now, taken.task, taken.attempt)
                     case Halt():
                         self.halted.append(effect)
                         self.node.exited(self.now, effect.task)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,6 +31,7 @@
     },
     "config": {"kelpfront.placer"},
     "http": set(),
+    "agent": {"kelpfront.machine", "kelpfront.http", "kelpfront.config"},
     "client": {"kelpfront.api", "kelpfront.http"},
     "fronts": {"kelpfront.api", "kelpfront.store", "kelpfront.http", "kelpfront.placer"},
     "service": {
@@ -47,6 +48,7 @@
 PURE = ("api", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
 """Parts that do no I/O and read no clock."""
 PURE_MACHINE = ("admission", "copies", "messages", "model", "node", "outbox", "telling", "warmup")
+PURE_AGENT = ("orphans", "recovery", "usage")
 IMPURE = {"asyncio", "socket", "time", "threading", "subprocess", "select", "uuid", "secrets"}
 
 
@@ -86,6 +88,7 @@
 def test_what_decides_does_no_io_and_reads_no_clock(path: Path) -> None:
     part = part_of(path)
     pure = part in PURE or (part == "machine" and path.stem in PURE_MACHINE)
+    pure = pure or (part == "agent" and path.stem in PURE_AGENT)
     files = path.name == "read.py" and part == "inventory"
     if pure and not files:
         assert not {name.split(".")[0] for name in imports(path)} & IMPURE
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,7 +27,7 @@
     decode_stream_message,
     encode,
 )
-from kelpfront.machine.model import Begin, Halt
+from kelpfront.machine.model import Begin, Halt, TakeOver
 from kelpfront.machine.node import Node
 from kelpfront.machine.outbox import Outbox
 from kelpfront.machine.server import MachineServer
@@ -428,6 +428,10 @@
         assert self.server is not None
         self.server.node.exited(1.0, halt.task)
 
+    def take_over(self, copy: TakeOver) -> None:
+        assert self.server is not None
+        self.server.node.taken_over(1.0, copy.offer.task, copy.offer.attempt)
+
 
 class Listener:
     """Reads a machine's stream as a placer does."""
