--- a/kelpfront/cli/common.py
+++ b/kelpfront/cli/common.py
@@ -23,6 +23,7 @@
 R = TypeVar("R")
 
 NOT_DONE, UNREACHABLE = 1, 5
+RIGHT = ("TASKS", "CORES", "MEMORY", "FREE", "FREE MEM", "PLACED", "REFUSED", "FAILED", "CPU S")
 
 server_option = click.option(
     "--server",
@@ -115,6 +116,9 @@
 def plain_table(*columns: str) -> Table:
     table = Table(box=None, pad_edge=False, header_style="bold")
     for column in columns:
-        right = column in ("TASKS", "CORES", "MEMORY", "FREE", "FREE MEM", "PLACED", "REFUSED", "FAILED")
-        table.add_column(column, justify="right" if right else "left", no_wrap=column in ("NAME", "MACHINE"))
+        table.add_column(
+            column,
+            justify="right" if column in RIGHT else "left",
+            no_wrap=column in ("NAME", "MACHINE"),
+        )
     return table
--- a/kelpfront/cli/main.py
+++ b/kelpfront/cli/main.py
@@ -11,6 +11,7 @@
 COMMANDS = {
     "serve": "kelpfront.cli.serve:serve",
     "machines": "kelpfront.cli.serve:machines",
+    "agent": "kelpfront.cli.agent:agent",
     "submit": "kelpfront.cli.jobs:submit",
     "get": "kelpfront.cli.jobs:get",
     "describe": "kelpfront.cli.jobs:describe",
--- a/kelpfront/config/agent.py
+++ b/kelpfront/config/agent.py
@@ -22,7 +22,7 @@
     room: Text = Field(description="The room that it is in.")
     listen: Address = Field("127.0.0.1:8150", description="Where placers and operators reach it.")
     state: Text = Field("agent-state", description="The folder of its state and its tasks, from here.")
-    state_size: Annotated[int, Size("64 KiB", "1 TiB")] = Field(
+    state_size: Annotated[int, Size("64 KiB", "1024 GiB")] = Field(
         parse_size("256 MiB"), description="The most that the record of its tasks may take on disk."
     )
     copies: Text | None = Field(
@@ -44,7 +44,7 @@
     memory: Annotated[float, Number(1e-3, 1e9)] | None = Field(
         None, description="Memory for tasks, in memory_unit; the host's if absent."
     )
-    memory_unit: Annotated[int, Size("1 B", "1 TiB")] = Field(
+    memory_unit: Annotated[int, Size("1 B", "1024 GiB")] = Field(
         parse_size("1 GiB"), description="One unit of memory, as jobs ask for it."
     )
     accepts_cores: Annotated[float, Number(0.1, 100)] = Field(
--- /dev/null
+++ b/tests/agents.py
@@ -0,0 +1,234 @@
+"""Agents as processes of their own, and offers to them as a placer makes them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from machines import offer
+from waiting import until
+
+from kelpfront.agent.process import identify, read_stat
+from kelpfront.http.client import HttpConnection, HttpError
+from kelpfront.lab.agents import AgentTask
+from kelpfront.machine.messages import (
+    Answer,
+    Command,
+    OfferRequest,
+    StopRequest,
+    StreamMessage,
+    decode_answer,
+    decode_stream_message,
+    encode,
+)
+
+CONFIG = """
+[agent]
+name = n1
+kind = small
+rack = r1
+room = east
+listen = 127.0.0.1:0
+heartbeat = 100 ms
+[host]
+cores = 1000
+memory = 1000
+counts_others = no
+[starts]
+line = 1000
+parallel = 16
+[tasks]
+use_period = 200 ms
+use_smoothing = 0 s
+[log]
+level = info
+format = json
+"""
+
+
+def command(script: str, **changes: Any) -> Command:
+    """A shell's script; it finds the test's folder in $OUT."""
+    return Command(("sh", "-c", script), **{"grace_ms": 300.0, **changes})
+
+
+class Agent:
+    """The agent of one state folder, over its lives."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.state = folder, folder / "agent-state"
+        self.out = folder / "out"
+        self.out.mkdir(exist_ok=True)
+        self.config = folder / "agent.ini"
+        self.config.write_text(CONFIG)
+        self.process: asyncio.subprocess.Process | None = None
+        self.url, self.ready_ms = "", 0.0
+        self.log = folder / "agent.log"
+
+    async def launch(self, **task: Any) -> asyncio.subprocess.Process:
+        its = AgentTask(str(self.config), **task)
+        with self.log.open("ab") as errors:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "kelpfront.lab.agents",
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+            )
+        assert process.stdin is not None
+        process.stdin.write(msgspec.json.encode(its))
+        process.stdin.close()
+        return process
+
+    async def start(self, **task: Any) -> None:
+        self.process = await self.launch(**task)
+        assert self.process.stdout is not None
+        async with asyncio.timeout(30):
+            line = await self.process.stdout.readline()
+        assert line, self.log.read_text()[-3000:]
+        told = json.loads(line)
+        self.url, self.ready_ms = told["url"], told["readyMs"]
+
+    async def kill(self) -> None:
+        """SIGKILL, and until it is gone."""
+        assert self.process is not None
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.gone()
+
+    async def gone(self) -> None:
+        assert self.process is not None
+        async with asyncio.timeout(30):
+            await self.process.wait()
+
+    async def restart(self, **task: Any) -> None:
+        await self.kill()
+        await self.start(**task)
+
+    # ---- As a placer ----------------------------------------------------------------------------------
+
+    def _address(self) -> tuple[str, int]:
+        host, _, port = self.url.removeprefix("http://").partition(":")
+        return host, int(port)
+
+    async def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        connection = await HttpConnection.open(*self._address())
+        try:
+            async with asyncio.timeout(30):
+                reply = await connection.request(method, path, body)
+        finally:
+            connection.abort()
+        return reply.status, reply.body
+
+    async def get(self, path: str) -> Any:
+        return msgspec.json.decode((await self.call("GET", path))[1])
+
+    async def offer(
+        self, task: str, script: str = "sleep 60", attempt: int = 0, placer: str = "p0", **changes: Any
+    ) -> Answer | None:
+        """The answer; None where the connection broke."""
+        changes.setdefault("run", command(f"OUT={self.out}; {script}"))
+        made = OfferRequest(placer, "life-1", offer(task, attempt, **changes))
+        try:
+            return decode_answer((await self.call("POST", "/v1/offers", encode(made)))[1])
+        except HttpError:
+            return None
+
+    async def stop(self, task: str, attempt: int = 0) -> str | None:
+        try:
+            _, body = await self.call("POST", "/v1/stops", encode(StopRequest("p0", task, attempt)))
+        except HttpError:
+            return None
+        found: str = msgspec.json.decode(body)["found"]
+        return found
+
+    async def read_stream(
+        self, seconds: float = 0.3, placer: str = "p0", query: str = ""
+    ) -> list[StreamMessage]:
+        """What the stream tells within some time."""
+        connection = await HttpConnection.open(*self._address())
+        messages: list[StreamMessage] = []
+        rest = b""
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    _, _, pieces = await connection.stream("GET", f"/v1/stream?placer={placer}{query}")
+                    async for piece in pieces:
+                        *lines, rest = (rest + piece).split(b"\n")
+                        messages += [decode_stream_message(line) for line in lines]
+        finally:
+            connection.abort()
+        return messages
+
+    async def tasks(self) -> dict[str, dict[str, Any]]:
+        return {task["task"]: task for task in await self.get("/v1/tasks")}
+
+    # ---- What really happened -------------------------------------------------------------------------
+
+    def lines(self, name: str) -> list[str]:
+        """Lines that tasks wrote to a file of the test's folder."""
+        path = self.out / name
+        return path.read_text().split("\n")[:-1] if path.exists() else []
+
+    async def until_lines(self, name: str, count: int) -> list[str]:
+        await until(lambda: len(self.lines(name)) >= count)
+        return self.lines(name)
+
+    def record(self, task: str, name: str, attempt: int = 0) -> dict[str, Any] | None:
+        path = self.state / "tasks" / f"{task}@{attempt}" / f"{name}.json"
+        if not path.exists():
+            return None
+        found: dict[str, Any] = json.loads(path.read_text())
+        return found
+
+    def pid(self, task: str, name: str = "started", attempt: int = 0) -> int:
+        found = self.record(task, name, attempt)
+        assert found is not None
+        return int(found["pid"])
+
+    async def end_all(self) -> None:
+        """Ends the agent and every process that it left, each known by its identity."""
+        if self.process is not None and self.process.returncode is None:
+            await self.kill()
+        for folder in (self.state / "tasks").glob("*"):
+            for name in ("claim", "started", *(f"watch-{n}" for n in range(1, 5))):
+                path = folder / f"{name}.json"
+                if not path.exists():
+                    continue
+                with contextlib.suppress(ValueError, KeyError):
+                    found = json.loads(path.read_text())
+                    stat = read_stat(found["pid"])
+                    if stat is not None and stat.ticks == found["ticks"]:
+                        with contextlib.suppress(ProcessLookupError):
+                            if name == "started":
+                                os.killpg(found["pid"], signal.SIGKILL)
+                            os.kill(found["pid"], signal.SIGKILL)
+
+
+def is_gone(pid: int) -> bool:
+    stat = read_stat(pid)
+    return stat is None or stat.state in "ZX"
+
+
+def same(pid: int) -> Any:
+    return identify(pid, "boot")
+
+
+@asynccontextmanager
+async def agent(folder: Path, start: bool = True, **task: Any) -> AsyncIterator[Agent]:
+    its = Agent(folder)
+    try:
+        if start:
+            await its.start(**task)
+        yield its
+    finally:
+        await its.end_all()
