Output of tasks through the API: kelpfront logs; submit takes a command

Owners need their tasks' output without going to the machine. GET .../jobs/NAME/log?task=N reads it from the machine that runs or ran the attempt, by a connection of its own, two a machine at a time; a request that waits for others ends its turn. kelpfront submit takes what tasks run after --.

--- a/kelpfront/cli/jobs.py
+++ b/kelpfront/cli/jobs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import sys
 import uuid
 from pathlib import Path
 from typing import Any
@@ -52,6 +53,10 @@
 @click.option("--key", help="Of a keyed class: what names the work.")
 @click.option("--token", help="Doing the same again with a token finds the first job; made up if absent.")
 @click.option("--label", "labels", multiple=True, metavar="KEY=VALUE")
+@click.option("--env", "env", multiple=True, metavar="NAME=VALUE", help="Of the tasks' environment.")
+@click.option("--workdir", help="Where the tasks run; a folder of their own if absent.")
+@click.option("--stop-grace", help="From SIGTERM to SIGKILL when stopped, such as 10s.")
+@click.argument("command", nargs=-1, metavar="[-- COMMAND...]")
 @click.option("--wait", is_flag=True, help="Follow the job until each task has its answer.")
 @output_option
 @run
@@ -69,18 +74,19 @@
     key: str | None,
     token: str | None,
     labels: tuple[str, ...],
+    env: tuple[str, ...],
+    workdir: str | None,
+    stop_grace: str | None,
+    command: tuple[str, ...],
     wait: bool,
     output: str,
 ) -> None:
-    """Submit a job."""
+    """Submit a job. What its tasks run on machines with an agent comes after `--`."""
     body = _read_body(file) if file is not None else {}
     metadata, spec = body.setdefault("metadata", {}), body.setdefault("spec", {})
     if name is not None:
         metadata["name"] = name
-    for label in labels:
-        its_key, equals, value = label.partition("=")
-        if not equals:
-            raise click.BadParameter(f"{label!r} is not KEY=VALUE", param_hint="--label")
+    for its_key, value in _pairs(labels, "--label").items():
         metadata.setdefault("labels", {})[its_key] = value
     given = {
         "class": class_,
@@ -91,6 +97,10 @@
         "patience": patience,
         "key": key,
         "clientToken": token,
+        "command": list(command) or None,
+        "env": _pairs(env, "--env") or None,
+        "workdir": workdir,
+        "stopGrace": stop_grace,
     }
     spec.update({field: value for field, value in given.items() if value is not None})
     spec.setdefault("clientToken", str(uuid.uuid4()))
@@ -108,6 +118,33 @@
             raise SystemExit(REFUSED)
 
 
+def _pairs(texts: tuple[str, ...], option: str) -> dict[str, str]:
+    found = {}
+    for text in texts:
+        name, equals, value = text.partition("=")
+        if not equals:
+            raise click.BadParameter(f"{text!r} is not KEY=VALUE", param_hint=option)
+        found[name] = value
+    return found
+
+
+@click.command()
+@server_option
+@namespace_option
+@click.option("--attempt", type=int, help="Of this attempt; of the last that was sent if absent.")
+@click.option("--tail-bytes", type=int, help="Only the last bytes.")
+@click.argument("job")
+@click.argument("task", type=int, default=0)
+@run
+async def logs(
+    server: str, namespace: str, attempt: int | None, tail_bytes: int | None, job: str, task: int
+) -> None:
+    """Print the output of a job's task, from the machine that runs or ran it."""
+    async with Client(server) as client:
+        text = await client.logs(namespace, job, task, attempt=attempt, tail_bytes=tail_bytes)
+    sys.stdout.buffer.write(text)
+
+
 def _read_body(path: Path) -> Any:
     try:
         body = yaml.safe_load(path.read_text())
--- a/kelpfront/cli/main.py
+++ b/kelpfront/cli/main.py
@@ -15,6 +15,7 @@
     "submit": "kelpfront.cli.jobs:submit",
     "get": "kelpfront.cli.jobs:get",
     "describe": "kelpfront.cli.jobs:describe",
+    "logs": "kelpfront.cli.jobs:logs",
     "watch": "kelpfront.cli.jobs:watch",
     "delete": "kelpfront.cli.jobs:delete",
     "drain": "kelpfront.cli.jobs:drain",
--- a/kelpfront/client/client.py
+++ b/kelpfront/client/client.py
@@ -111,6 +111,24 @@
                     return state
         raise AssertionError("a watch does not end by itself")
 
+    async def logs(
+        self,
+        namespace: str,
+        name: str,
+        task: int = 0,
+        *,
+        attempt: int | None = None,
+        tail_bytes: int | None = None,
+    ) -> bytes:
+        """The output of a job's task, at most its last `tail_bytes`; ApiError 404 where none is kept."""
+        query = {"task": task, "attempt": attempt, "tailBytes": tail_bytes}
+        text = urlencode({key: value for key, value in query.items() if value is not None})
+        target = f"{self._path}{self.path(JOBS, namespace, name)}/log?{text}"
+        reply = await self._exchange("GET", target, b"", ())
+        if reply.status >= 400:
+            raise status_error(_decoded(reply.body))
+        return reply.body
+
     # ---- Machines -------------------------------------------------------------------------------------
 
     async def list_machines(self, **selectors: str) -> list[Machine]:
--- a/kelpfront/fronts/rest/discovery.py
+++ b/kelpfront/fronts/rest/discovery.py
@@ -194,9 +194,31 @@
         one["delete"] = _operation(resource, "delete", "delete", named)
     paths[collection] = many
     paths[f"{collection}/{{name}}"] = one
+    if resource is JOBS:
+        paths[f"{collection}/{{name}}/log"] = {"get": _log_operation(named)}
     return paths
 
 
+def _log_operation(parameters: list[Object]) -> Object:
+    return {
+        "operationId": "readJobLog",
+        "x-kubernetes-action": "get",
+        "parameters": [
+            *parameters,
+            _parameter("task", "integer", "The task's index; 0 if absent."),
+            _parameter("attempt", "integer", "Of this attempt; of the last that was sent if absent."),
+            _parameter("tailBytes", "integer", "Only the last bytes."),
+        ],
+        "responses": {
+            "200": {"description": "OK", "content": {"text/plain": {"schema": {"type": "string"}}}},
+            "default": {
+                "description": "An error",
+                "content": {"application/json": {"schema": {"$ref": "#/components/schemas/Status"}}},
+            },
+        },
+    }
+
+
 def _operation(resource: Resource, verb: str, identity: str, parameters: list[Object]) -> Object:
     schema = {"$ref": f"#/components/schemas/{resource.kind}"}
     body = {"application/json": {"schema": schema}}
--- a/kelpfront/fronts/rest/front.py
+++ b/kelpfront/fronts/rest/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, get_args
 
@@ -15,6 +15,7 @@
 from kelpfront.api.meta import API_VERSION, GROUP, JOBS, RESOURCES, Object, Resource
 from kelpfront.api.selectors import Selector, parse_selector
 from kelpfront.fronts.rest import discovery
+from kelpfront.fronts.rest.logs import LogReader, log_answer
 from kelpfront.fronts.rest.watching import WatchRequest, WatchTimes, watch_lines
 from kelpfront.http.server import Request, Response
 from kelpfront.placer.operations import Operations, Written
@@ -41,6 +42,7 @@
     resource: Resource
     namespace: str | None
     name: str
+    part: str = ""
 
 
 class RestFront:
@@ -53,9 +55,11 @@
         health: Callable[[], Health],
         rng: random.Random,
         times: WatchTimes | None = None,
+        read_log: LogReader | None = None,
     ) -> None:
         self._operations, self._common_time, self._health, self._rng = operations, common_time, health, rng
         self._times = times or WatchTimes()
+        self._read_log = read_log
         self._watches: dict[int, Callable[[], None]] = {}
         self._watch_number = 0
         self._fixed: dict[str, Callable[[], Object]] = {
@@ -99,6 +103,8 @@
         if path.startswith("/openapi/v3"):
             raise ApiError(404, f"{path}: no such document")
         target = _target(path)
+        if target.part:
+            return self._log(request, target)
         _check_accept(request.headers.get("accept", ""))
         if target.name:
             return self._object(request, target)
@@ -136,6 +142,24 @@
                 return json_response(200, status)
         raise _not_allowed(request.method, ("GET", "POST", "DELETE") if creates else ("GET",))
 
+    def _log(self, request: Request, target: _Target) -> Response:
+        if request.method != "GET":
+            raise _not_allowed(request.method, ("GET",))
+        if self._read_log is None:
+            raise ApiError(503, "this server reads no output of tasks")
+        key = target.namespace or "", target.name
+        answer = log_answer(self._operations.store, request, key, self._read_log, _whole)
+        assert answer.later is not None
+        answer.later = self._or_error(answer.later)
+        return answer
+
+    @staticmethod
+    async def _or_error(later: Awaitable[Response]) -> Response:
+        try:
+            return await later
+        except ApiError as error:
+            return error_response(error)
+
     def _object(self, request: Request, target: _Target) -> Response:
         operations, resource = self._operations, target.resource
         key = target.namespace or "", target.name
@@ -253,6 +277,8 @@
         if rest[0] == "namespaces" and len(rest) >= 3:
             namespace, rest = rest[1], rest[2:]
         resource = RESOURCES.get(rest[0])
+        if resource is JOBS and namespace is not None and len(rest) == 3 and rest[2] == "log":
+            return _Target(resource, namespace, rest[1], "log")
         if resource is not None and len(rest) <= 2 and (namespace is None or resource.namespaced):
             name = rest[1] if len(rest) == 2 else ""
             if not (name and resource.namespaced and namespace is None):
--- a/kelpfront/http/server.py
+++ b/kelpfront/http/server.py
@@ -82,13 +82,18 @@
 
 @dataclass(slots=True)
 class Response:
-    """An answer. A stream is sent chunk by chunk as it is made; its end ends the answer."""
+    """An answer. A stream is sent chunk by chunk as it is made; its end ends the answer.
+
+    `later` is for an answer that others have to be waited for: it is sent in place of this one, and the
+    request's turn is over meanwhile.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
     headers: list[tuple[str, str]] = field(default_factory=list)
     stream: AsyncIterator[bytes] | None = None
+    later: Awaitable[Response] | None = None
 
 
 class Abort(Exception):  # noqa: N818 - control flow, not an error
@@ -237,6 +242,9 @@
                 self._idle.clear()
                 try:
                     response = await self._handler(request)
+                    if response.later is not None:
+                        exchange.end_turn()
+                        response = await response.later
                     await exchange.send(response, self._closing)
                 finally:
                     self._busy -= 1
@@ -273,6 +281,10 @@
         self._tell_turns()
         self._conn.receive_data(await self._reader.read(READ_SIZE))
 
+    def end_turn(self) -> None:
+        """The present request is waiting for others; what it does after that is not counted."""
+        self._tell_turns()
+
     def _tell_turns(self) -> None:
         """What the present request took of its turn so far."""
         if self._turns is not None and self._began:
--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import contextlib
-import os
 import resource
 import signal
-import sys
 import tempfile
 import time
 from collections.abc import Callable, Sequence
@@ -17,23 +15,22 @@
 import msgspec
 import structlog
 
-from kelpfront.client import Client, ServerUnreachableError
+from kelpfront.client import Client
 from kelpfront.config import Config
 from kelpfront.config.reader import parse_config
 from kelpfront.inventory import Host, Inventory, KindSize, read_inventory
 from kelpfront.lab.checker import Figures, Verdict, check
 from kelpfront.lab.fleet import FleetModel
 from kelpfront.lab.owners import ClassShape, OwnersTask
+from kelpfront.lab.process import END_WITHIN_S, Placer, Process
 from kelpfront.lab.recording import Recorder, read_recordings
-from kelpfront.lab.script import BadDay, DayShape, Drain, PlacerFault, bad_day, room_of_placer
+from kelpfront.lab.script import BadDay, DayShape, Drain, PlacerFault, bad_day
 from kelpfront.lab.setup import make_hosts, write_csv
 
 log = structlog.get_logger("kelpfront.lab")
 
 ROOMS = ("hall-a", "hall-b", "hall-c")
 OWNERS_RATE = 60.0  # tasks a second for one process of owners
-UP_WITHIN_S = 60.0
-END_WITHIN_S = 30.0
 
 SETTINGS = """
 [cluster]
@@ -90,130 +87,6 @@
 SIZES = ((0.5, 1.0), (1.0, 2.0), (2.0, 3.0))
 
 
-class Process:
-    """A child of the day: its first line of output says that it is up."""
-
-    def __init__(self, name: str, *args: str, log_to: Path) -> None:
-        self.name, self._args, self._log_to = name, args, log_to
-        self.cpu_s = 0.0
-        self._process: asyncio.subprocess.Process | None = None
-
-    async def start(self, data: bytes | None = None) -> None:
-        with self._log_to.open("ab") as errors:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                *self._args,
-                stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE,
-                stderr=errors,
-            )
-        if data is not None:
-            assert self._process.stdin is not None
-            self._process.stdin.write(data)
-            self._process.stdin.close()
-
-    async def line(self, within_s: float = UP_WITHIN_S) -> Any:
-        """The next line of its output, as JSON."""
-        assert self._process is not None and self._process.stdout is not None
-        async with asyncio.timeout(within_s):
-            line = await self._process.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{self.name} ended: {self._log_to.read_text()[-2000:]}")
-        return msgspec.json.decode(line)
-
-    def go(self) -> None:
-        """A line on standard input: the day begins."""
-        assert self._process is not None and self._process.stdin is not None
-        self._process.stdin.write(b"go\n")
-
-    def cpu_now(self) -> float:
-        """CPU seconds of this life so far."""
-        if self._process is None or self._process.returncode is not None:
-            return 0.0
-        try:
-            fields = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
-        except OSError:
-            return 0.0
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-    def kill(self) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self.cpu_s += self.cpu_now()
-            with contextlib.suppress(ProcessLookupError):
-                self._process.kill()
-
-    async def end(self) -> int:
-        """SIGTERM, and the exit code; killed where it does not end."""
-        if self._process is None:
-            return 0
-        self.cpu_s += self.cpu_now()
-        if self._process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self._process.terminate()
-        return await self.wait(END_WITHIN_S)
-
-    async def wait(self, within_s: float) -> int:
-        assert self._process is not None
-        try:
-            async with asyncio.timeout(within_s):
-                return await self._process.wait()
-        except TimeoutError:
-            self._process.kill()
-            await self._process.wait()
-            return -9
-
-
-class Placer:
-    """A placer over its lives, on one port."""
-
-    def __init__(self, number: int, count: int, work: Path) -> None:
-        self.number, self.name = number, f"placer-{number}"
-        self._count, self._work = count, work
-        self._listen = "127.0.0.1:0"
-        self.url = ""
-        self.process: Process | None = None
-        self.cpu_s = 0.0
-
-    async def start(self) -> None:
-        self.process = Process(
-            self.name,
-            "kelpfront",
-            "serve",
-            "-c",
-            str(self._work / "cluster.ini"),
-            "--set",
-            f"placer.name={self.name}",
-            "--set",
-            f"placer.number={self.number}",
-            "--set",
-            f"placer.room={room_of_placer(self.number, ROOMS)}",
-            "--set",
-            f"placer.listen={self._listen}",
-            "--set",
-            f"cluster.placers={self._count}",
-            log_to=self._work / f"{self.name}.log",
-        )
-        await self.process.start()
-        self.url = (await self.process.line())["url"]
-        self._listen = self.url.removeprefix("http://")
-
-    async def ready(self) -> None:
-        async with asyncio.timeout(UP_WITHIN_S), Client(self.url) as client:
-            while True:
-                with contextlib.suppress(ServerUnreachableError, Exception):
-                    reply = await client._exchange("GET", "/readyz", b"", ())
-                    if reply.status == 200:
-                        return
-                await asyncio.sleep(0.05)
-
-    async def kill(self) -> None:
-        assert self.process is not None
-        self.process.kill()
-        self.cpu_s += self.process.cpu_s
-        await self.process.wait(END_WITHIN_S)
-
-
 class Day:
     """One day in one folder. `run` plays it and gives the verdict and the figures."""
 
@@ -232,7 +105,7 @@
         self.hosts = make_hosts(shape.machines, ROOMS, kinds)
         script = bad_day(shape, self.hosts, ROOMS)
         self.script = BadDay((), (), (), ()) if quiet else script
-        self.placers = [Placer(number, shape.placers, work) for number in range(shape.placers)]
+        self.placers = [Placer(number, shape.placers, work, ROOMS) for number in range(shape.placers)]
         self._fleets: list[Process] = []
         self._owners: list[Process] = []
         self._recorder = Recorder("director", work / "director.jsonl")
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -13,9 +13,11 @@
 
 import structlog
 
+from kelpfront.api.errors import ApiError
 from kelpfront.clock import CommonClock
 from kelpfront.config import Config, build_cluster
 from kelpfront.fronts.rest import Health, RestFront, WatchTimes, error_body
+from kelpfront.http.client import HttpError
 from kelpfront.http.pacing import Turns
 from kelpfront.http.server import HttpLimits, HttpServer
 from kelpfront.inventory import Inventory, InventoryError, KindSize, read_inventory
@@ -74,7 +76,7 @@
         self.heart.verbose = config.log.level == "debug"
         self.operations = Operations(self.heart, self.clock.now, chance)
         self.operations.closed = STARTING
-        self.front = RestFront(self.operations, self._common_time, self.health, chance, times)
+        self.front = RestFront(self.operations, self._common_time, self.health, chance, times, self._read_log)
         self.http = HttpServer(
             self.front.handle,
             HttpLimits(
@@ -198,6 +200,19 @@
         await self._stopped.wait()
         collector.stop()
 
+    async def _read_log(self, host: str, task: str, attempt: int, most: int) -> bytes:
+        link = self.links.get(host)
+        if link is None:
+            raise ApiError(404, f"machine {host} is gone, and the output of its tasks with it")
+        try:
+            status, body = await link.read_log(task, attempt, most)
+        except (HttpError, TimeoutError) as error:
+            why = str(error) or "no answer in time"
+            raise ApiError(503, f"machine {host} does not tell: {why}", retry_after_s=1) from None
+        if status != 200:
+            raise ApiError(404, f"machine {host} keeps no output of attempt {attempt} of task {task}")
+        return body
+
     def health(self) -> Health:
         return Health(ready=self.operations.closed)
 
--- a/kelpfront/service/links.py
+++ b/kelpfront/service/links.py
@@ -37,6 +37,8 @@
 
 CONNECTIONS = 32  # to one machine, besides the stream; each offer that is out holds one
 STOPS_AT_ONCE = 4  # to one machine
+LOGS_AT_ONCE = 2  # reads of tasks' output on one machine
+LOG_S = 10.0  # for one of them, with its wait for the others
 STREAM_CONNECT_S = 2.0
 STREAM_SILENT_S = 10.0  # nothing at all for so long: the connection is dead, whatever TCP says
 LINE_MOST = 64 << 20  # bytes of one message: a snapshot of some ten thousand tasks
@@ -63,6 +65,7 @@
         self._pool = HttpPool(self._name, self._port, CONNECTIONS, connect_s)
         self._offers: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._jobs: set[asyncio.Task[None]] = set()
+        self._log_turns = asyncio.Semaphore(LOGS_AT_ONCE)
         self._stop_turns = asyncio.Semaphore(STOPS_AT_ONCE)
         self._backoff = Backoff(rng)
         self._boot, self._life, self._next_seq = "", "", 0
@@ -135,6 +138,17 @@
                 return
         self._heart.stop_heard(self.host, intent.stop.task)
 
+    async def read_log(self, task: str, attempt: int, most: int) -> tuple[int, bytes]:
+        """Status and output of a task, by a connection of its own: offers must not wait for it."""
+        target = f"{self._path}/v1/logs?task={quote(task)}&attempt={attempt}&tailBytes={most}"
+        async with self._log_turns, asyncio.timeout(LOG_S):
+            connection = await HttpConnection.open(self._name, self._port)
+            try:
+                reply = await connection.request("GET", target)
+            finally:
+                connection.abort()
+        return reply.status, reply.body
+
     def probe(self, intent: SendProbe) -> None:
         self._spawn(self._send_probe())
 
