--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import sys
+import tempfile
 from pathlib import Path
 
 import click
@@ -12,6 +14,53 @@
 from kelpfront.cli.common import fail
 
 
+@click.group()
+def lab() -> None:
+    """Experiments on the whole program, with processes on loopback."""
+
+
+def need_packages() -> None:
+    try:
+        import hdrh  # noqa: F401
+    except ImportError:
+        fail("the laboratory needs more packages: pip install 'kelpfront[lab]'")
+
+
+@lab.command("agent-restarts")
+@click.option("--seed", default=1, show_default=True, help="Of all chance.")
+@click.option("--restarts", default=50, show_default=True, help="Kills of an agent, over all agents.")
+@click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
+@click.option("--seconds", default=60.0, show_default=True, help="How long work comes in.")
+@click.option("--agents", default=2, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Leave what was written in this folder.")
+def agent_restarts(
+    seed: int, restarts: int, rate: float, seconds: float, agents: int, as_json: bool, keep: Path | None
+) -> None:
+    """Kill node agents again and again under load, and count from what the tasks themselves wrote.
+
+    Exit code 1 if a task was lost or started twice, or an exit was not told.
+    """
+    from kelpfront.lab.restarts import Restarts, RestartsShape
+    from kelpfront.service.logs import configure_logs
+
+    configure_logs("warning", "auto")
+    shape = RestartsShape(seed, restarts, rate, seconds, agents)
+    interactive = sys.stderr.isatty() or not as_json
+
+    def say(text: str) -> None:
+        if interactive:
+            click.echo(text, err=True)
+
+    with contextlib.ExitStack() as stack:
+        if keep is None:
+            keep = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="kelpfront-agents-")))
+        figures = asyncio.run(Restarts(shape, keep, say).run())
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    if any(figures[name] for name in ("lost", "duplicated", "unreported_exits", "violations")):
+        raise SystemExit(1)
+
+
 @click.command("bad-day")
 @click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
 @click.option("--placers", default=4, show_default=True)
@@ -48,10 +97,7 @@
     from kelpfront.lab.script import DayShape
     from kelpfront.service.logs import configure_logs
 
-    try:
-        import hdrh  # noqa: F401
-    except ImportError:
-        fail("the laboratory needs more packages: pip install 'kelpfront[lab]'")
+    need_packages()
     configure_logs("warning", "auto")
     shape = DayShape(seed, placers, machines, rate, seconds)
     interactive = sys.stderr.isatty() or not as_json
--- a/kelpfront/cli/main.py
+++ b/kelpfront/cli/main.py
@@ -23,6 +23,7 @@
     "inventory": "kelpfront.cli.files:inventory",
     "config": "kelpfront.cli.files:config",
     "bad-day": "kelpfront.cli.lab:bad_day",
+    "lab": "kelpfront.cli.lab:lab",
     "demo": "kelpfront.cli.lab:demo",
     "completion": "kelpfront.cli.files:completion",
 }
--- a/kelpfront/lab/process.py
+++ b/kelpfront/lab/process.py
@@ -50,6 +50,15 @@
             raise RuntimeError(f"{self.name} ended: {self._log_to.read_text()[-2000:]}")
         return msgspec.json.decode(line)
 
+    @property
+    def pid(self) -> int:
+        return 0 if self._process is None else self._process.pid
+
+    async def died(self) -> int:
+        """Waits for its end, however long that takes."""
+        assert self._process is not None
+        return await self._process.wait()
+
     def go(self) -> None:
         """A line on standard input: the day begins."""
         assert self._process is not None and self._process.stdin is not None
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -5,8 +5,6 @@
 import asyncio
 import contextlib
 import json
-import os
-import signal
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -17,9 +15,10 @@
 from machines import offer
 from waiting import until
 
-from kelpfront.agent.process import identify, read_stat
+from kelpfront.agent.process import read_stat
 from kelpfront.http.client import HttpConnection, HttpError
 from kelpfront.lab.agents import AgentTask
+from kelpfront.lab.reap import end_left
 from kelpfront.machine.messages import (
     Answer,
     Command,
@@ -199,19 +198,7 @@
         """Ends the agent and every process that it left, each known by its identity."""
         if self.process is not None and self.process.returncode is None:
             await self.kill()
-        for folder in (self.state / "tasks").glob("*"):
-            for name in ("claim", "started", *(f"watch-{n}" for n in range(1, 5))):
-                path = folder / f"{name}.json"
-                if not path.exists():
-                    continue
-                with contextlib.suppress(ValueError, KeyError):
-                    found = json.loads(path.read_text())
-                    stat = read_stat(found["pid"])
-                    if stat is not None and stat.ticks == found["ticks"]:
-                        with contextlib.suppress(ProcessLookupError):
-                            if name == "started":
-                                os.killpg(found["pid"], signal.SIGKILL)
-                            os.kill(found["pid"], signal.SIGKILL)
+        end_left(self.state)
 
 
 def is_gone(pid: int) -> bool:
@@ -219,10 +206,6 @@
     return stat is None or stat.state in "ZX"
 
 
-def same(pid: int) -> Any:
-    return identify(pid, "boot")
-
-
 @asynccontextmanager
 async def agent(folder: Path, start: bool = True, **task: Any) -> AsyncIterator[Agent]:
     its = Agent(folder)
