--- a/kelpfront/agent/recovery.py
+++ b/kelpfront/agent/recovery.py
@@ -62,12 +62,10 @@
         return Fate.ENDED_UNSEEN
     if evidence.claim == "void":
         return Fate.NEVER_RAN
-    if evidence.claim == "none" and not evidence.started and not evidence.damaged:
-        return Fate.UNCLAIMED
     if evidence.supervisor_alive:
         return Fate.RUNNING if evidence.running else Fate.STARTING
     if evidence.process_alive:
         return Fate.UNWATCHED
-    if evidence.started or evidence.damaged or evidence.claim == "unreadable":
+    if evidence.started or evidence.running or evidence.damaged or evidence.claim == "unreadable":
         return Fate.ENDED_UNSEEN
-    return Fate.NEVER_RAN
+    return Fate.UNCLAIMED if evidence.claim == "none" else Fate.NEVER_RAN
--- /dev/null
+++ b/tests/test_agent_cluster.py
@@ -0,0 +1,194 @@
+"""A placer with node agents: jobs with commands, their output, and who knows what after which restart."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from agents import Agent, agent
+from click.testing import CliRunner
+from clusters import SETTINGS
+from waiting import until
+
+from kelpfront.api.errors import ApiError
+from kelpfront.api.jobs import Job, JobSpec, Task
+from kelpfront.cli import main
+from kelpfront.client import Client
+from kelpfront.config.reader import parse_config
+from kelpfront.inventory import Host, Inventory
+from kelpfront.lab.restarts import Restarts, RestartsShape
+from kelpfront.service.app import PlacerService
+
+OVERRIDES = ("agent.heartbeat=100 ms", "host.cores=24", "host.memory=48")
+
+
+class AgentCluster:
+    def __init__(self, agents: list[Agent]) -> None:
+        self.agents = agents
+        self.placers: list[PlacerService] = []
+        self.clients: list[Client] = []
+
+    async def placer(self) -> tuple[PlacerService, Client]:
+        hosts = {
+            f"n{number}": Host(f"n{number}", "small", "r1", "east", 24.0, 48.0, its.url)
+            for number, its in enumerate(self.agents)
+        }
+        config = parse_config(SETTINGS, "test.ini", ("cluster.lost_after=20 s",))
+        service = PlacerService(config, Inventory("test", hosts), seed=len(self.placers))
+        self.placers.append(service)
+        await service.start()
+        await until(lambda: not service.operations.closed)
+        await until(lambda: all(entry.load for entry in service.heart.directory.entries.values()))
+        client = Client(service.url, seed=1)
+        self.clients.append(client)
+        return service, client
+
+
+@asynccontextmanager
+async def agent_cluster(folder: Path, count: int = 1) -> AsyncIterator[AgentCluster]:
+    async with AsyncExitStack() as stack:
+        agents = []
+        for number in range(count):
+            place = folder / f"n{number}"
+            place.mkdir()
+            agents.append(
+                await stack.enter_async_context(agent(place, overrides=(*OVERRIDES, f"agent.name=n{number}")))
+            )
+        cluster = AgentCluster(agents)
+        try:
+            yield cluster
+        finally:
+            for client in cluster.clients:
+                client.close()
+            for service in cluster.placers:
+                await service.close()
+
+
+def spec(script: str, cls: str = "web", **changes: Any) -> JobSpec:
+    plain = {"class": cls, "service": "front", "cores": 1.0, "memory": 1.0}
+    return JobSpec.model_validate({**plain, "command": ["sh", "-c", script], **changes})
+
+
+def task_of(job: Job, index: int = 0) -> Task:
+    assert job.status is not None
+    return job.status.tasks[index]
+
+
+async def until_state(client: Client, name: str, *states: str) -> Task:
+    async with asyncio.timeout(30):
+        while True:
+            task = task_of(await client.get_job("climate", name))
+            if task.state.value in states:
+                return task
+            await asyncio.sleep(0.02)
+
+
+async def test_a_job_runs_its_command_and_its_output_is_read_through_the_api(tmp_path: Path) -> None:
+    async with agent_cluster(tmp_path) as its:
+        _, client = await its.placer()
+        made = spec(
+            'echo "$GREETING from $KELPFRONT_JOB"; pwd; exit 3', env={"GREETING": "hello"}, workdir="/tmp"
+        )
+        await client.submit("climate", made, name="front")
+        task = await until_state(client, "front", "Ended")
+        assert (task.answer, task.exit_code, task.machine) == ("Placed", 3, "n0")
+        assert task.cpu_seconds is not None and task.cpu_seconds >= 0
+        assert await client.logs("climate", "front") == b"hello from climate/front\n/tmp\n"
+        assert await client.logs("climate", "front", 0, attempt=0, tail_bytes=5) == b"/tmp\n"
+        for wrong in ({"task": 7}, {"task": 0, "attempt": 3}):
+            with pytest.raises(ApiError) as caught:
+                await client.logs("climate", "front", **wrong)
+            assert caught.value.code == 404
+        runner = CliRunner()
+        url = its.placers[0].url
+        shown = await asyncio.to_thread(
+            runner.invoke, main, ["logs", "--server", url, "-n", "climate", "front", "0"]
+        )
+        assert shown.output == "hello from climate/front\n/tmp\n", shown.output
+
+
+async def test_a_command_that_does_not_exist_is_refused_with_the_machines_words(tmp_path: Path) -> None:
+    async with agent_cluster(tmp_path) as its:
+        _, client = await its.placer()
+        made = JobSpec.model_validate(
+            {
+                "class": "blend",
+                "service": "x",
+                "cores": 1.0,
+                "memory": 1.0,
+                "command": ["no-such-program"],
+                "patience": "1s",
+            }
+        )
+        job = await client.wait_answers(await client.submit("climate", made))
+        task = task_of(job)
+        assert task.answer == "Refused"  # each attempt is known not to have run
+        assert "no-such-program: No such file" in (task.attempts[0].message or "")
+
+
+async def test_a_deleted_job_is_stopped_with_its_grace(tmp_path: Path) -> None:
+    async with agent_cluster(tmp_path) as its:
+        _, client = await its.placer()
+        out = its.agents[0].out
+        made = spec(
+            f"trap 'echo term >> {out}/terms; exit 0' TERM; echo >> {out}/up; while :; do sleep 0.02; done",
+            stop_grace="5s",
+        )
+        await client.submit("climate", made, name="front")
+        await its.agents[0].until_lines("up", 1)
+        await client.delete_job("climate", "front")
+        assert await its.agents[0].until_lines("terms", 1) == ["term"]
+
+
+async def test_tasks_outlive_their_agent_and_its_placer_hears_how_they_ended(tmp_path: Path) -> None:
+    async with agent_cluster(tmp_path) as its:
+        _, client = await its.placer()
+        (machine,) = its.agents
+        for name, script in (
+            ("stays", "sleep 60"),
+            ("ends", f"sleep 0.5; echo x >> {machine.out}/ends; exit 9"),
+        ):
+            await client.submit("climate", spec(script, "blend"), name=name)
+            await until_state(client, name, "Running")
+        address = machine.url.removeprefix("http://")
+        await machine.kill()
+        await machine.until_lines("ends", 1)
+        await machine.start(overrides=(*OVERRIDES, "agent.name=n0", f"agent.listen={address}"))
+        task = await until_state(client, "ends", "Ended", "Lost")
+        assert (task.state, task.exit_code) == ("Ended", 9)
+        task = await until_state(client, "stays", "Running", "Lost")
+        assert task.state == "Running" and len(task.attempts) == 1
+
+
+async def test_a_placer_that_was_killed_finds_its_tasks_by_the_agents(tmp_path: Path) -> None:
+    async with agent_cluster(tmp_path, 2) as its:
+        first, client = await its.placer()
+        made = spec("sleep 60", "blend", count=4, stop_grace="1s", client_token="again")
+        await client.submit("climate", made, name="front")
+        first_job = await client.wait_answers(await client.get_job("climate", "front"), timeout_s=30)
+        assert first_job.status is not None and first_job.status.counts.running == 4, first_job
+        await first.close()
+        _, client = await its.placer()
+        job = await client.get_job("climate", "front")
+        assert job.status is not None and len(job.status.tasks) == 4
+        assert {task.state.value for task in job.status.tasks} == {"Running"}
+        assert job.spec.command == ("sh", "-c", "sleep 60") and job.spec.stop_grace == "1s"
+        again = await client.submit("climate", made)
+        assert again.metadata.uid == job.metadata.uid
+        await client.delete_job("climate", "front")
+        async with asyncio.timeout(30):
+            while any([await machine.tasks() for machine in its.agents]):  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+
+async def test_agents_killed_under_load_lose_nothing_and_start_nothing_twice(tmp_path: Path) -> None:
+    """The laboratory's experiment, short, with a fixed seed."""
+    shape = RestartsShape(seed=7, restarts=6, rate=20.0, seconds=6.0)
+    figures = await Restarts(shape, tmp_path / "run", lambda text: None).run()
+    assert figures["placed"] > 20 and figures["starts"] >= figures["placed"]
+    wrong = {name: figures[name] for name in ("lost", "duplicated", "unreported_exits", "violations")}
+    assert not any(wrong.values()), figures
