A job with a command that comes again by its token is the same job

Found by killing a placer: the command was compared as a tuple with a list. The forkserver ends quietly with an agent that died before it read an answer; agent-restarts also counts deaths while an agent takes up what an earlier one left.

--- a/kelpfront/agent/forkserver.py
+++ b/kelpfront/agent/forkserver.py
@@ -49,8 +49,11 @@
     boot = boot_id()
     gc.collect()
     gc.freeze()  # so that the collector does not touch, and thereby copy, what all supervisors share
-    while request := control.recv(REQUEST_MOST):
-        control.send(fork_supervisor(control, request.decode(), boot).encode())
+    try:
+        while request := control.recv(REQUEST_MOST):
+            control.send(fork_supervisor(control, request.decode(), boot).encode())
+    except ConnectionError:
+        pass  # the agent died with an answer unread, or before it could be sent
 
 
 if __name__ == "__main__":
--- a/kelpfront/api/jobs.py
+++ b/kelpfront/api/jobs.py
@@ -122,7 +122,7 @@
         max_length=128,
         description="Chosen by the client: a POST with a known token answers with the job that has it.",
     )
-    command: tuple[Argument, ...] | None = Field(
+    command: list[Argument] | None = Field(
         None,
         min_length=1,
         max_length=MAX_ARGV,
--- a/kelpfront/lab/restarts.py
+++ b/kelpfront/lab/restarts.py
@@ -140,6 +140,7 @@
         self.process: Process | None = None
         self.ready_ms: list[float] = []
         self.up_s: list[float] = []
+        self.died_in_recovery = 0
 
     async def start(self, kill_at: tuple[str, int] | None = None) -> None:
         loop = asyncio.get_running_loop()
@@ -148,7 +149,14 @@
         self.process = Process(self.name, "kelpfront.lab.agents", log_to=self._work / f"{self.name}.log")
         began = loop.time()
         await self.process.start(msgspec.json.encode(task))
-        told = await self.process.line()
+        try:
+            told = await self.process.line()
+        except RuntimeError:
+            if kill_at is None:
+                raise
+            self.died_in_recovery += 1  # its point came while it took up what an earlier one had left
+            await self.start()
+            return
         self.up_s.append(loop.time() - began)
         self.ready_ms.append(told["readyMs"])
         self.address = told["url"].removeprefix("http://")
@@ -331,6 +339,7 @@
             "seed": shape.seed,
             "restarts": sum(len(agent.ready_ms) - 1 for agent in self._agents),
             "deaths": dict(self._deaths),
+            "deaths_in_recovery": sum(agent.died_in_recovery for agent in self._agents),
             "tasks": len(self._names),
             "rejected": self.rejected,
             "states": dict(states),
--- a/kelpfront/placer/offers.py
+++ b/kelpfront/placer/offers.py
@@ -65,7 +65,7 @@
     if ref.token:
         spec["clientToken"] = ref.token
     if offer.run is not None:
-        spec["command"] = offer.run.argv
+        spec["command"] = list(offer.run.argv)
         if offer.run.env:
             spec["env"] = offer.run.env
         if offer.run.workdir:
