--- a/kelpfront/agent/runtime.py
+++ b/kelpfront/agent/runtime.py
@@ -337,7 +337,6 @@
             self.node.started(now, run.task)
         code, cpu_s, message = exited.get("code"), exited.get("cpu_s"), str(exited.get("error", ""))
         self.node.exited(now, run.task, code, cpu_s, message)
-        self.saw_end(run)
         self._at("exit-told")
         ended = self.node.ended(run.task)
         cause: GoneCause = (ended.report.cause if ended is not None else None) or "ended"
@@ -356,9 +355,6 @@
         self._at("exit-recorded")
         self._changed()
 
-    def saw_end(self, run: Run) -> None:
-        """A hook: a task that ran is over."""
-
     # ---- What ended tasks leave -----------------------------------------------------------------------
 
     def keep(self, key: tuple[str, int], folder: Path) -> None:
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -67,6 +67,7 @@
 @click.option("--machines", default=24, show_default=True)
 @click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
 @click.option("--seconds", default=40.0, show_default=True, help="How long work comes in.")
+@click.option("--agents", default=0, show_default=True, help="Machines that are node agents, not stand-ins.")
 @click.option("--quiet-day", is_flag=True, help="Nothing goes wrong: for measuring.")
 @click.option("--model", "model_text", default="{}", help="How the stand-ins behave, as JSON.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
@@ -79,6 +80,7 @@
     machines: int,
     rate: float,
     seconds: float,
+    agents: int,
     quiet_day: bool,
     model_text: str,
     as_json: bool,
@@ -110,7 +112,7 @@
         model = msgspec.json.decode(model_text, type=FleetModel)
     except msgspec.DecodeError as error:
         fail(f"--model: {error}")
-    verdict, figures = asyncio.run(play(shape, keep, model, quiet=quiet_day, say=say))
+    verdict, figures = asyncio.run(play(shape, keep, model, quiet=quiet_day, say=say, agents=agents))
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     for violation in verdict.violations[:20]:
         click.echo(f"{violation.rule}: {violation.text}", err=True)
--- a/kelpfront/cli/serve.py
+++ b/kelpfront/cli/serve.py
@@ -63,6 +63,9 @@
 @click.option("--record", type=click.Path(path_type=Path), help="Write what goes over the sockets here.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--cold", is_flag=True, help="They have just come up.")
+@click.option(
+    "--copies", type=click.Path(path_type=Path), help="A folder shared with node agents of their rooms."
+)
 def machines(
     config_path: Path,
     overrides: tuple[str, ...],
@@ -74,8 +77,10 @@
     record: Path | None,
     seed: int,
     cold: bool,
+    copies: Path | None,
 ) -> None:
     """Run stand-in machines, for rehearsal: the real protocol, simulated tasks, scripted faults."""
+    from kelpfront.agent.copies import FileCopies
     from kelpfront.clock import CommonClock
     from kelpfront.inventory import Inventory
     from kelpfront.lab.fleet import Fault, Fleet, FleetModel
@@ -105,7 +110,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         recorder = Recorder("machines", record)
-        fleet = Fleet(its, hosts, model, seed, CommonClock().now, recorder)
+        board = None if copies is None else FileCopies(copies)
+        fleet = Fleet(its, hosts, model, seed, CommonClock().now, recorder, board)
         ports = None
         if write_inventory is None:
             ports = {host.name: int(host.address.rpartition(":")[2]) for host in hosts}
--- a/kelpfront/lab/agents.py
+++ b/kelpfront/lab/agents.py
@@ -18,7 +18,6 @@
 
 import msgspec
 
-from kelpfront.agent.runtime import Run, Runtime
 from kelpfront.agent.server import AgentServer
 from kelpfront.agent.service import AgentError, AgentService, HostFacts
 from kelpfront.clock import CommonClock
@@ -42,7 +41,6 @@
     "exit-told",
     "exit-recorded",
 )
-FLUSH_S = 0.2
 
 
 class AgentTask(msgspec.Struct, frozen=True):
@@ -55,6 +53,7 @@
     wall_ahead_s: float = 0.0  # the wall clock is off by so much
     wall_steps: tuple[float, float] | None = None  # after so many seconds the wall clock steps by so many
     record: str = ""
+    records_boot: bool = True  # whether the machine's boot is recorded: only of its first agent
     overrides: tuple[str, ...] = ()
 
 
@@ -111,23 +110,8 @@
                 self.record("gone-told", placer=placer, task=task, attempt=attempt, cause=cause)
 
 
-class RecordedRuntime(Runtime):
-    recorder: Recorder
-
-    def saw_end(self, run: Run) -> None:
-        offer = run.record.request.offer
-        self.recorder.write(
-            "end",
-            machine=self.node.settings.name,
-            task=offer.task,
-            attempt=offer.attempt,
-            cause=run.stop or "ended",
-        )
-
-
 class RecordedAgent(AgentService):
     server_class = RecordedServer
-    runtime_class = RecordedRuntime
 
 
 def stepping_wall(ahead_s: float, steps: tuple[float, float] | None) -> Callable[[], float]:
@@ -149,14 +133,14 @@
     facts = HostFacts(its.boot or real.boot, real.uptime_ms if its.uptime_ms is None else its.uptime_ms)
     clock = CommonClock(stepping_wall(its.wall_ahead_s, its.wall_steps))
     death = Death(its.kill_at)
-    recorder = Recorder("agent", Path(its.record)) if its.record else None
+    recorder = Recorder("agent", Path(its.record), at_once=True) if its.record else None
     kind: type[AgentService] = AgentService
     if recorder is not None:
-        RecordedServer.recorder = RecordedRuntime.recorder = recorder
+        RecordedServer.recorder = recorder
         kind = RecordedAgent
     service = kind(config, clock=clock, facts=facts, at=death.at)
     await service.start()
-    if recorder is not None:
+    if recorder is not None and its.records_boot:
         warmup, settings = service.node.settings.warmup, service.node.settings
         cold = service.clock.now() - service.node.started_at < warmup.cold_ms
         recorder.write(
@@ -176,13 +160,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    while not stop.is_set():
-        if recorder is not None:
-            recorder.flush()
-        try:
-            await asyncio.wait_for(stop.wait(), FLUSH_S)
-        except TimeoutError:
-            continue
+    await stop.wait()
     await service.close()
     if recorder is not None:
         recorder.close()
--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +20,15 @@
 from kelpfront.config import Config
 from kelpfront.config.reader import parse_config
 from kelpfront.inventory import Host, Inventory, KindSize, read_inventory
+from kelpfront.lab.agentday import (
+    SCRIPT,
+    AgentFault,
+    AgentMachine,
+    agent_faults,
+    chosen_hosts,
+    starts,
+    write_lines,
+)
 from kelpfront.lab.checker import Figures, Verdict, check
 from kelpfront.lab.fleet import FleetModel
 from kelpfront.lab.owners import ClassShape, OwnersTask
@@ -97,6 +107,7 @@
         model: FleetModel | None = None,
         quiet: bool = False,
         say: Callable[[str], None] = lambda text: None,
+        agents: int = 0,
     ) -> None:
         self.shape, self.work, self._say = shape, work, say
         self.model = model or FleetModel()
@@ -106,6 +117,9 @@
         script = bad_day(shape, self.hosts, ROOMS)
         self.script = BadDay((), (), (), ()) if quiet else script
         self.placers = [Placer(number, shape.placers, work, ROOMS) for number in range(shape.placers)]
+        its_hosts = chosen_hosts(self.hosts, agents)
+        self._agents = {host.name: AgentMachine(host, self.config, self.model, work) for host in its_hosts}
+        self._agent_faults = () if quiet else agent_faults(shape, its_hosts)
         self._fleets: list[Process] = []
         self._owners: list[Process] = []
         self._recorder = Recorder("director", work / "director.jsonl")
@@ -120,6 +134,8 @@
         finally:
             await self.tear_down()
         self._say("judging")
+        ends = [line for machine in self._agents.values() for line in machine.ends()]
+        write_lines(self.work / "tasks.jsonl", [*starts(self.work), *ends])
         paths = sorted(self.work.glob("*.jsonl"))
         verdict = check(read_recordings(paths), Figures.of(self.config))
         figures = self._figures(verdict, told, codes)
@@ -134,6 +150,7 @@
             if placer.process is not None:
                 placer.process.kill()
         await asyncio.gather(*(fleet.end() for fleet in self._fleets))
+        await asyncio.gather(*(machine.end() for machine in self._agents.values()))
         for owners in self._owners:
             owners.kill()
         self._recorder.close()
@@ -144,7 +161,13 @@
         (self.work / "faults.json").write_bytes(msgspec.json.encode(self.script.faults))
         rooms = [room for room in ROOMS if any(host.room == room for host in self.hosts)]
         for room in rooms:
-            hosts = {host.name: _with_address(host) for host in self.hosts if host.room == room}
+            hosts = {
+                host.name: _with_address(host)
+                for host in self.hosts
+                if host.room == room and host.name not in self._agents
+            }
+            if not hosts:
+                continue
             write_csv(self.work / f"{room}-plan.csv", Inventory("", hosts))
             fleet = Process(
                 f"machines {room}",
@@ -164,15 +187,20 @@
                 str(self.work / f"machines-{room}.jsonl"),
                 "--seed",
                 str(self.shape.seed),
+                *(("--copies", str(self.work / "copies")) if self._agents else ()),
                 log_to=self.work / f"machines-{room}.log",
             )
             self._fleets.append(fleet)
             await fleet.start()
+        await asyncio.gather(*(machine.start() for machine in self._agents.values()))
         await asyncio.gather(*(fleet.line() for fleet in self._fleets))
         kinds = {name: KindSize(kind.cores, kind.memory) for name, kind in self.config.kinds.items()}
         hosts = {}
         for room in rooms:
-            hosts |= read_inventory(self.work / f"{room}.csv", kinds)[0].hosts
+            if (self.work / f"{room}.csv").exists():
+                hosts |= read_inventory(self.work / f"{room}.csv", kinds)[0].hosts
+        for name, machine in self._agents.items():
+            hosts[name] = replace(machine.host, address=f"http://{machine.address}")
         write_csv(self.work / "inventory.csv", Inventory("", dict(sorted(hosts.items()))))
         for start in range(0, len(self.placers), 8):
             await asyncio.gather(*(placer.start() for placer in self.placers[start : start + 8]))
@@ -195,6 +223,9 @@
                 self._classes(),
                 self.script.jumps,
                 str(self.work / f"owner-{number}.jsonl"),
+                command=("sh", "-c", SCRIPT) if self._agents else (),
+                env={"DAY": str(self.work)} if self._agents else {},
+                life_s=self.model.life_ms / 1000.0,
             )
             owners = Process(
                 f"owner-{number}", "kelpfront.lab.owners", log_to=self.work / f"owner-{number}.log"
@@ -205,6 +236,7 @@
             fleet.go()
         began = loop.time()
         acts = [asyncio.create_task(self._placer_fault(fault)) for fault in self.script.placer_faults]
+        acts += [asyncio.create_task(self._agent_fault(fault)) for fault in self._agent_faults]
         acts += [asyncio.create_task(self._drain(drain)) for drain in self.script.drains]
         longest = shape.seconds + END_WITHIN_S
         lines = [asyncio.create_task(owners.line(longest)) for owners in self._owners]
@@ -232,6 +264,14 @@
         self._recorder.write("placer-up", placer=placer.name)
         await placer.start()
 
+    async def _agent_fault(self, fault: AgentFault) -> None:
+        await asyncio.sleep(fault.at_s)
+        machine = self._agents[fault.host]
+        self._recorder.write("agent-killed", machine=fault.host)
+        await machine.kill()
+        await asyncio.sleep(fault.for_s)
+        await machine.start()
+
     async def _drain(self, drain: Drain) -> None:
         """An operator goes from placer to placer, as each has to be told by itself."""
         await asyncio.sleep(drain.at_s)
@@ -266,6 +306,7 @@
             "seed": shape.seed,
             "placers": shape.placers,
             "machines": shape.machines,
+            "agents": len(self._agents),
             "rate": shape.rate,
             "seconds": shape.seconds,
             "tasks": verdict.tasks,
@@ -308,6 +349,7 @@
     model: FleetModel | None = None,
     quiet: bool = False,
     say: Callable[[str], None] = lambda text: None,
+    agents: int = 0,
 ) -> tuple[Verdict, dict[str, Any]]:
     """Plays a bad day in a folder that is removed after it, or in `keep`."""
     _raise_file_limit()
@@ -316,9 +358,10 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # or its processes live on
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
-        return await Day(shape, keep, model, quiet, say).run()
+        keep = keep.resolve()
+        return await Day(shape, keep, model, quiet, say, agents).run()
     with tempfile.TemporaryDirectory(prefix="kelpfront-day-") as folder:
-        return await Day(shape, Path(folder), model, quiet, say).run()
+        return await Day(shape, Path(folder), model, quiet, say, agents).run()
 
 
 def _raise_file_limit() -> None:
--- a/kelpfront/lab/checker.py
+++ b/kelpfront/lab/checker.py
@@ -186,6 +186,12 @@
                 attempt.ended_at = line["t"]
         self._on[line["machine"]] = {}
 
+    def _agent_killed(self, line: Line) -> None:
+        """Its connections break, and with them the offers that it has not answered; its tasks run on."""
+        for attempt in self._on[line["machine"]].values():
+            if attempt.answered_at is None and attempt.left_at is None:
+                attempt.left_at = line["t"]
+
     def _fell(self, line: Line) -> None:
         text = f"{line['machine']} fell over: {line['offers']} offers in a window, it bears {line['bears']}"
         self._break(COLD, line["t"], text)
--- a/kelpfront/lab/fleet.py
+++ b/kelpfront/lab/fleet.py
@@ -15,7 +15,7 @@
 from kelpfront.lab.recording import Recorder
 from kelpfront.lab.standin import MachineModel, StandIn, TaskModel, boot_again
 from kelpfront.machine.admission import Capacity
-from kelpfront.machine.copies import CopyBoard
+from kelpfront.machine.copies import BoardOfMachines, CopyBoard
 from kelpfront.machine.model import NodeSettings
 from kelpfront.machine.warmup import Warmup
 
@@ -72,9 +72,10 @@
         seed: int,
         now: Callable[[], float],
         recorder: Recorder,
+        copies: BoardOfMachines | None = None,
     ) -> None:
         self._recorder = recorder
-        copies = CopyBoard()
+        copies = copies or CopyBoard()
         self.machines = {
             host.name: StandIn(
                 node_settings(config, host, model), machine_model(config, model), seed, now, recorder, copies
--- a/kelpfront/lab/owners.py
+++ b/kelpfront/lab/owners.py
@@ -53,6 +53,9 @@
     withdraw_share: float = 0.02
     leave_share: float = 0.03  # of the submissions whose owner leaves right after sending
     ask_again: bool = True
+    command: tuple[str, ...] = ()  # what tasks run where machines have agents
+    env: dict[str, str] = {}
+    life_s: float = 15.0  # in the mean, told to the command in $LIFE
 
 
 class Work:
@@ -181,6 +184,9 @@
             "patience": f"{work.cls.patience_ms:g}ms",
             "clientToken": token,
         }
+        if its.command:
+            life = min(rng.expovariate(1.0 / its.life_s), 6 * its.life_s)
+            spec |= {"command": list(its.command), "env": {**its.env, "LIFE": f"{life:.2f}"}}
         if work.cls.effect == "keyed":
             spec["key"] = work.ident
         body: Object = {"metadata": {"labels": {"work": work.ident}}, "spec": spec}
--- a/kelpfront/lab/recording.py
+++ b/kelpfront/lab/recording.py
@@ -5,7 +5,7 @@
 
 Events of machines: `boot`, `down`, `fell`, `told`, `offer`, `answer`, `left`, `start`, `end`, `gone-told`.
 Events of clients: `submit`, `taken`, `rejected`, `answer-seen`, `withdrawn`, `drain-asked`.
-Events of the day's director: `placer-up`, `placer-killed`, `fault`.
+Events of the day's director: `placer-up`, `placer-killed`, `agent-killed`, `fault`.
 """
 
 from __future__ import annotations
@@ -26,10 +26,21 @@
 
 
 class Recorder:
-    """Writes lines to a file, or keeps them in memory where there is none."""
-
-    def __init__(self, by: str, path: Path | None = None, clock: Callable[[], float] = host_clock) -> None:
+    """Writes lines to a file, or keeps them in memory where there is none.
+
+    `at_once`: each line is out before the next thing happens, for a process that is to be killed.
+    """
+
+    def __init__(
+        self,
+        by: str,
+        path: Path | None = None,
+        clock: Callable[[], float] = host_clock,
+        *,
+        at_once: bool = False,
+    ) -> None:
         self.by, self.lines, self._clock = by, list[Line](), clock
+        self._at_once = at_once
         self._file: TextIO | None = None if path is None else path.open("w", encoding="utf-8")
 
     def write(self, ev: str, **fields: Any) -> None:
@@ -38,6 +49,8 @@
             self.lines.append(line)
         else:
             self._file.write(msgspec.json.encode(line).decode() + "\n")
+            if self._at_once:
+                self._file.flush()
 
     def flush(self) -> None:
         if self._file is not None:
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -16,7 +16,7 @@
 
 from kelpfront.http.server import Abort, HttpLimits, Request, Response
 from kelpfront.lab.recording import Recorder
-from kelpfront.machine.copies import CopyBoard
+from kelpfront.machine.copies import BoardOfMachines
 from kelpfront.machine.messages import Answer, Gone, Heartbeat, Note, OfferRequest, Sequenced, encode
 from kelpfront.machine.model import Begin, Halt, NodeSettings, TakeOver
 from kelpfront.machine.node import Node
@@ -144,7 +144,7 @@
         seed: int,
         now: Callable[[], float],
         recorder: Recorder,
-        copies: CopyBoard,
+        copies: BoardOfMachines,
     ) -> None:
         self.settings, self.model, self.now = settings, model, now
         self.rng = random.Random(f"{seed}/{settings.name}")
--- a/kelpfront/machine/copies.py
+++ b/kelpfront/machine/copies.py
@@ -18,6 +18,13 @@
         """Gives the key back, if it is this task's."""
 
 
+class BoardOfMachines(Copies, Protocol):
+    """Copies of machines that may die with all that they hold."""
+
+    def remove_machine(self, machine: str) -> None:
+        """Forgets what a machine held that is dead."""
+
+
 class CopyBoard:
     """Shared by the machines of one process."""
 
