Seven agents that are wrong on purpose, each found by agent-restarts

A judge is trusted for what it was seen to catch: forgets, starts again, starts twice, drops exits, misses exits, says that what runs never ran, halves CPU time.

--- a/kelpfront/agent/service.py
+++ b/kelpfront/agent/service.py
@@ -71,6 +71,7 @@
     """One agent process. `at` is called at each named point of a task's life: tests end the process there."""
 
     server_class: type[AgentServer] = AgentServer
+    runtime_class: type[Runtime] = Runtime
 
     def __init__(
         self,
@@ -108,7 +109,7 @@
             self.node = self._make_node(seq)
             self._state.start()
             await self._keep_seq(seq)
-            self.runtime = Runtime(
+            self.runtime = self.runtime_class(
                 self.node,
                 self._state,
                 self._spawner,
--- a/kelpfront/lab/agentday.py
+++ b/kelpfront/lab/agentday.py
@@ -62,7 +62,7 @@
 # What each task runs: it says that it started, by a clock that all processes of the host share, and lives on.
 SCRIPT = (
     "read up rest < /proc/uptime; "
-    "echo $KELPFRONT_TASK $KELPFRONT_ATTEMPT $KELPFRONT_MACHINE $up >> \"$DAY/starts\"; exec sleep $LIFE"
+    'echo $KELPFRONT_TASK $KELPFRONT_ATTEMPT $KELPFRONT_MACHINE $up >> "$DAY/starts"; exec sleep $LIFE'
 )
 
 
--- a/kelpfront/lab/agents.py
+++ b/kelpfront/lab/agents.py
@@ -24,6 +24,7 @@
 from kelpfront.config.agent import read_agent_config
 from kelpfront.http.server import Request
 from kelpfront.lab.recording import Recorder
+from kelpfront.lab.wrongagents import WRONG
 from kelpfront.machine.messages import Answer, Gone, Heartbeat, OfferRequest, Sequenced
 from kelpfront.service.logs import configure_logs
 
@@ -55,6 +56,7 @@
     record: str = ""
     records_boot: bool = True  # whether the machine's boot is recorded: only of its first agent
     overrides: tuple[str, ...] = ()
+    wrong: str = ""  # one of `wrongagents.WRONG`
 
 
 class Death:
@@ -134,7 +136,7 @@
     clock = CommonClock(stepping_wall(its.wall_ahead_s, its.wall_steps))
     death = Death(its.kill_at)
     recorder = Recorder("agent", Path(its.record), at_once=True) if its.record else None
-    kind: type[AgentService] = AgentService
+    kind: type[AgentService] = WRONG[its.wrong] if its.wrong else AgentService
     if recorder is not None:
         RecordedServer.recorder = recorder
         kind = RecordedAgent
--- a/kelpfront/lab/restarts.py
+++ b/kelpfront/lab/restarts.py
@@ -33,6 +33,7 @@
 DEATHS_AT_POINTS = 0.6  # share of kills that are at a point of a task's life
 POINT_WITHIN_S = 1.5  # after that the kill comes anyway
 SETTLE_S = 40.0
+WRONG_SETTLE_S = 6.0  # with agents that may never tell of an end
 
 CLUSTER = """
 [cluster]
@@ -127,13 +128,14 @@
     rate: float
     seconds: float
     agents: int = 2
+    wrong: str = ""  # agents that are wrong on purpose: `wrongagents`
 
 
 class AgentLives:
     """One agent over its lives, on one port."""
 
-    def __init__(self, name: str, work: Path) -> None:
-        self.name, self._work = name, work
+    def __init__(self, name: str, work: Path, wrong: str = "") -> None:
+        self.name, self._work, self._wrong = name, work, wrong
         self._config = work / f"{name}.ini"
         self._config.write_text(AGENT.format(name=name, port=0))
         self.address = ""
@@ -145,7 +147,7 @@
     async def start(self, kill_at: tuple[str, int] | None = None) -> None:
         loop = asyncio.get_running_loop()
         overrides = (f"agent.listen={self.address}",) if self.address else ()
-        task = AgentTask(str(self._config), kill_at, overrides=overrides)
+        task = AgentTask(str(self._config), kill_at, overrides=overrides, wrong=self._wrong)
         self.process = Process(self.name, "kelpfront.lab.agents", log_to=self._work / f"{self.name}.log")
         began = loop.time()
         await self.process.start(msgspec.json.encode(task))
@@ -183,7 +185,7 @@
         self._rng = random.Random(f"agent-restarts/{shape.seed}")
         self.out = work / "out"
         self.out.mkdir(parents=True)
-        self._agents = [AgentLives(f"n{number}", work) for number in range(shape.agents)]
+        self._agents = [AgentLives(f"n{number}", work, shape.wrong) for number in range(shape.agents)]
         self._placer: Placer | None = None
         self._deaths: Counter[str] = Counter()
         self._jobs: set[asyncio.Task[None]] = set()
@@ -290,7 +292,7 @@
                 await agent.kill()
                 await agent.start()
         loop = asyncio.get_running_loop()
-        until = loop.time() + SETTLE_S
+        until = loop.time() + (WRONG_SETTLE_S if self.shape.wrong else SETTLE_S)
         while True:
             found, _ = await client.list_objects(JOBS, "lab")
             if all(job["status"]["phase"] == "Finished" for job in found) or loop.time() > until:
--- /dev/null
+++ b/kelpfront/lab/wrongagents.py
@@ -0,0 +1,102 @@
+"""Agents that are wrong on purpose, each in one way: what judges agents must find every one of them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from kelpfront.agent.evidence import Found
+from kelpfront.agent.runtime import Run, Runtime
+from kelpfront.agent.service import AgentService
+from kelpfront.agent.state import End, Opened, Recorded
+from kelpfront.machine.model import Begin
+
+
+class Forgets(AgentService):
+    """Starts with an empty memory."""
+
+    def _recover(self, opened: Opened) -> None:
+        pass
+
+
+class StartsAgain(AgentService):
+    """Starts what it finds running, as if only the intent counted."""
+
+    def _take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
+        super()._take_up(now, record, folder, doubtful)
+        if record.end is None and record.request.offer.task in self.node.tasks:
+            run = Run(record, folder.with_name(f"{folder.name}.again"))
+            self.runtime._spawn(self.runtime._start(run))
+
+
+class DropsExits(AgentService):
+    """Does not tell of exits that came while it was away."""
+
+    def _end(self, record: Recorded, folder: Path, end: End) -> None:
+        pass
+
+
+class TakesRunningForNeverRun(AgentService):
+    """Says of what it finds running that it never ran."""
+
+    def _take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
+        self._end(record, folder, End("failed", False, message="never ran"))
+
+
+class _HalfRuntime(Runtime):
+    def _over(self, run: Run, found: Found, seen: bool) -> None:
+        if found.exit is not None and found.exit.get("cpu_s"):
+            found.exit["cpu_s"] *= 0.5
+        super()._over(run, found, seen)
+
+
+class HalvesUse(AgentService):
+    """Reports half of the CPU time."""
+
+    runtime_class = _HalfRuntime
+
+
+class _DeafRuntime(Runtime):
+    def _over(self, run: Run, found: Found, seen: bool) -> None:
+        if hash_of(run.task) % 3:
+            super()._over(run, found, seen)
+
+
+class MissesExits(AgentService):
+    """Does not see the exits of some tasks, and after a restart shows them as running still."""
+
+    runtime_class = _DeafRuntime
+
+    def _end(self, record: Recorded, folder: Path, end: End) -> None:
+        if end.ran and not hash_of(record.key[0]) % 3:
+            self.node.restore(self.clock.now(), record.request, "running", record.since)
+        else:
+            super()._end(record, folder, end)
+
+
+class _DoubleRuntime(Runtime):
+    def begin(self, begin: Begin) -> None:
+        super().begin(begin)
+        run = self.runs[begin.offer.task]
+        twin = Run(run.record, run.folder.with_name(f"{run.folder.name}.twin"))
+        self._spawn(self._start(twin))
+
+
+class StartsTwice(AgentService):
+    """Makes two processes of each task."""
+
+    runtime_class = _DoubleRuntime
+
+
+def hash_of(text: str) -> int:
+    return sum(text.encode())
+
+
+WRONG: dict[str, type[AgentService]] = {
+    "forgets": Forgets,
+    "starts-again": StartsAgain,
+    "drops-exits": DropsExits,
+    "running-never-ran": TakesRunningForNeverRun,
+    "halves-use": HalvesUse,
+    "misses-exits": MissesExits,
+    "starts-twice": StartsTwice,
+}
--- a/tests/test_agent_cluster.py
+++ b/tests/test_agent_cluster.py
@@ -192,3 +192,21 @@
     assert figures["placed"] > 20 and figures["starts"] >= figures["placed"]
     wrong = {name: figures[name] for name in ("lost", "duplicated", "unreported_exits", "violations")}
     assert not any(wrong.values()), figures
+
+
+@pytest.mark.parametrize(
+    ("wrong", "found_as"),
+    [
+        ("forgets", "lost"),
+        ("starts-again", "duplicated"),
+        ("drops-exits", "lost"),
+        ("running-never-ran", "lost"),
+        ("misses-exits", "unreported_exits"),
+        ("starts-twice", "duplicated"),
+        ("halves-use", "use_error"),
+    ],
+)
+async def test_the_experiment_finds_an_agent_that_is_wrong(tmp_path: Path, wrong: str, found_as: str) -> None:
+    shape = RestartsShape(seed=7, restarts=5, rate=20.0, seconds=5.0, wrong=wrong)
+    figures = await Restarts(shape, tmp_path / "run", lambda text: None).run()
+    assert figures[found_as] > (0.05 if found_as == "use_error" else 0), figures
