--- a/kelpfront/agent/sampler.py
+++ b/kelpfront/agent/sampler.py
@@ -35,12 +35,18 @@
         parents: dict[int, int] = {}
         seen: dict[int, psutil.Process] = {}
         for pid in psutil.pids():
-            with contextlib.suppress(psutil.Error):
-                process = self._known.get(pid)
-                if process is None or not process.is_running():
+            process = self._known.get(pid)
+            try:
+                if process is None:
+                    process = psutil.Process(pid)
+                try:
+                    parents[pid] = process.ppid()
+                except psutil.NoSuchProcess:  # its pid was given out again
                     process = psutil.Process(pid)
-                parents[pid] = process.ppid()
-                seen[pid] = process
+                    parents[pid] = process.ppid()
+            except psutil.Error:
+                continue
+            seen[pid] = process
         self._known = seen
         children: dict[int, list[int]] = {}
         for pid, parent in parents.items():
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -61,6 +61,27 @@
         raise SystemExit(1)
 
 
+@lab.command("agent-cost")
+@click.option("--tasks", default="0,100,500", show_default=True, help="Numbers of tasks that it holds.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def agent_cost(tasks: str, as_json: bool) -> None:
+    """Measure one node agent: starts a second, a durable start, its CPU and memory, its restart."""
+    from kelpfront.lab.agentcost import AgentCost
+
+    try:
+        counts = [int(text) for text in tasks.split(",")]
+    except ValueError:
+        fail(f"--tasks: {tasks!r}; whole numbers with commas between are expected")
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    with tempfile.TemporaryDirectory(prefix="kelpfront-agent-cost-") as folder:
+        figures = asyncio.run(AgentCost(counts, Path(folder), say).run())
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+
+
 @click.command("bad-day")
 @click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
 @click.option("--placers", default=4, show_default=True)
--- a/kelpfront/lab/wrongagents.py
+++ b/kelpfront/lab/wrongagents.py
@@ -87,6 +87,16 @@
     runtime_class = _DoubleRuntime
 
 
+class Unsynced(AgentService):
+    """Does not wait for the disk: what a durable start costs is the difference."""
+
+    def _open_state(self) -> Opened:
+        opened = super()._open_state()
+        assert self._state._db is not None
+        self._state._db.execute("PRAGMA synchronous=OFF")
+        return opened
+
+
 def hash_of(text: str) -> int:
     return sum(text.encode())
 
@@ -99,4 +109,5 @@
     "halves-use": HalvesUse,
     "misses-exits": MissesExits,
     "starts-twice": StartsTwice,
+    "unsynced": Unsynced,
 }
