--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sqlite3
@@ -570,3 +571,58 @@
         await until_told(its, "t1")
         reported = (await snapshot(its))["t1"].cpu_s
         assert reported is not None and abs(reported - float(own)) <= 0.05 * float(own) + 0.03
+
+
+async def test_the_command_line_serves_shows_drains_and_leaves_tasks_running(tmp_path: Path) -> None:
+    its = Agent(tmp_path)
+    serve = [sys.executable, "-m", "kelpfront", "agent", "serve", "-c", str(its.config)]
+
+    async def cli(*args: str) -> tuple[int, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "kelpfront",
+            "agent",
+            args[0],
+            "-c",
+            str(its.config),
+            *args[1:],
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        out, _ = await asyncio.wait_for(process.communicate(), 30)
+        return process.returncode or 0, out.decode()
+
+    try:
+        assert (await cli("status"))[0] == 5, "there is none yet"
+        for life in range(2):
+            its.process = await asyncio.create_subprocess_exec(
+                *serve, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL
+            )
+            assert its.process.stdout is not None
+            its.url = json.loads(await its.process.stdout.readline())["url"]
+            if not life:
+                assert kind(await its.offer("t1", START + "sleep 60")) == ("running", "")
+            code, text = await cli("ps")
+            assert code == 0 and "climate/job-t1" in text and "running" in text
+            code, text = await cli("status", "--json")
+            assert json.loads(text)["tasks"] == {"running": 1}
+            its.process.terminate()
+            assert await asyncio.wait_for(its.process.wait(), 30) == 0
+        assert its.lines("starts") == ["t1"] and not is_gone(its.pid("t1"))
+    finally:
+        await its.end_all()
+
+
+async def test_offers_that_wait_when_the_agent_ends_are_not_started_later(tmp_path: Path) -> None:
+    async with agent(tmp_path, overrides=("starts.weigh=400 ms",)) as its:
+        waiting = [asyncio.create_task(its.offer(f"t{n}", START + "sleep 60")) for n in range(5)]
+        await asyncio.sleep(0.6)
+        assert its.process is not None
+        its.process.terminate()
+        await its.gone()
+        answers = await asyncio.gather(*waiting)
+        ran = [answer for answer in answers if answer is not None and answer.answer == "running"]
+        await its.start()
+        await asyncio.sleep(0.5)
+        assert len(its.lines("starts")) == len(ran) < 5
