--- a/kelpfront/fronts/rest/discovery.py
+++ b/kelpfront/fronts/rest/discovery.py
@@ -65,7 +65,8 @@
                 "verbs": list(resource.verbs),
             }
             for resource in RESOURCES.values()
-        ],
+        ]
+        + [{"name": "jobs/log", "singularName": "", "namespaced": True, "kind": "Job", "verbs": ["get"]}],
     }
 
 
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -73,6 +73,7 @@
             f"{BASE}/jobs",
             f"{BASE}/namespaces/{{namespace}}/jobs",
             f"{BASE}/namespaces/{{namespace}}/jobs/{{name}}",
+            f"{BASE}/namespaces/{{namespace}}/jobs/{{name}}/log",
             f"{BASE}/machines",
             f"{BASE}/machines/{{name}}",
         }
