gRPC front: jobs, machines, watches and the Bindings stream on the same operations and store

Municipalities and farmers' associations need another protocol than the data teams'; two schedulers would not do. proto3 in proto/kelpfront/v1 with made code that make lint checks for freshness; requests go on as the data a REST client would have sent; errors map to status and google.rpc details and back; Bindings tells what there is to tell when there are credits, so that a client which never reads costs what its jobs cost.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo test lint clean
+.PHONY: demo test lint proto clean
 
 demo: $(READY)  ## a small cluster on loopback: a job placed and followed, then a bad day with the rules checked
 	$(BIN)/kelpfront demo
@@ -18,6 +18,10 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 	$(BIN)/python tools/policy_limits.py
+	$(BIN)/python tools/protos.py --check
+
+proto: $(READY)  ## the code of the gRPC protocol from proto/
+	$(BIN)/python tools/protos.py
 
 $(READY): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
--- a/kelpfront/cli/serve.py
+++ b/kelpfront/cli/serve.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import importlib.util
 import json
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 import msgspec
@@ -15,6 +17,9 @@
 from kelpfront.config import Config
 from kelpfront.inventory import InventoryError
 
+if TYPE_CHECKING:
+    from kelpfront.service.app import PlacerService
+
 
 @click.command()
 @config_option
@@ -30,6 +35,8 @@
     from kelpfront.service.logs import configure_logs
 
     its = load_config(config_path, overrides)
+    if its.placer.grpc is not None and importlib.util.find_spec("grpc") is None:
+        fail("[placer] grpc: the gRPC API needs more packages: pip install 'kelpfront[grpc]'")
     path = inventory or config_path.parent / its.placer.inventory
     its = its.model_copy(update={"placer": its.placer.model_copy(update={"inventory": str(path)})})
     configure_logs(its.log.level, its.log.format, placer=its.placer.name)
@@ -40,7 +47,7 @@
 
     async def run() -> None:
         service = PlacerService(its, hosts)
-        await service.run(lambda started: click.echo(json.dumps({"url": started.url})))
+        await service.run(lambda started: click.echo(json.dumps(addresses(started))))
 
     try:
         asyncio.run(run())
@@ -48,6 +55,14 @@
         fail(f"{its.placer.listen}: {error.strerror or error}")
 
 
+def addresses(service: PlacerService) -> dict[str, str]:
+    """Where a placer is reached."""
+    found = {"url": service.url}
+    if service.grpc_target:
+        found["grpc"] = service.grpc_target
+    return found
+
+
 @click.command()
 @config_option
 @set_option
--- a/kelpfront/config/model.py
+++ b/kelpfront/config/model.py
@@ -169,6 +169,9 @@
     number: Annotated[int, Whole(0, 9999)] = Field(0, description="Its number among the placers, from 0.")
     room: Text | None = Field(None, description="The room that it is in, if any.")
     listen: Address = Field("127.0.0.1:8140", description="Where the REST API is served.")
+    grpc: Address | None = Field(
+        None, description="Where the gRPC API is served (needs kelpfront[grpc]); nowhere if absent."
+    )
     inventory: Text = Field("inventory.csv", description="The machines: a .csv or .yaml file, from here.")
     seed: Annotated[int, Whole(0, 2**63 - 1)] | None = Field(
         None, description="Of the decisions' chance; drawn at start if absent."
--- /dev/null
+++ b/kelpfront/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""What both ends of gRPC share: resources to messages and back, errors to status and back. No I/O."""
--- /dev/null
+++ b/kelpfront/rpc/status.py
@@ -0,0 +1,122 @@
+"""Errors of the API as gRPC status with google.rpc details, and back; one to one with the REST API's Status.
+
+The status code is the nearest of gRPC's. What tells two REST reasons of one code apart is the reason itself,
+in `ErrorInfo`. A status without `ErrorInfo` is not the placer's word: it came from the transport, and whether
+the call arrived is for the caller to judge.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import grpc
+from google.rpc import code_pb2, error_details_pb2, status_pb2
+
+from kelpfront.api.errors import ApiError, Cause
+
+DOMAIN = "kelpfront.dev"
+DETAILS_KEY = "grpc-status-details-bin"
+
+CODE_OF_REASON = {
+    "BadRequest": grpc.StatusCode.INVALID_ARGUMENT,
+    "Invalid": grpc.StatusCode.INVALID_ARGUMENT,
+    "NotFound": grpc.StatusCode.NOT_FOUND,
+    "MethodNotAllowed": grpc.StatusCode.UNIMPLEMENTED,
+    "NotAcceptable": grpc.StatusCode.INVALID_ARGUMENT,
+    "UnsupportedMediaType": grpc.StatusCode.INVALID_ARGUMENT,
+    "AlreadyExists": grpc.StatusCode.ALREADY_EXISTS,
+    "Conflict": grpc.StatusCode.ABORTED,
+    "Expired": grpc.StatusCode.OUT_OF_RANGE,
+    "RequestEntityTooLarge": grpc.StatusCode.RESOURCE_EXHAUSTED,
+    "RequestHeaderFieldsTooLarge": grpc.StatusCode.RESOURCE_EXHAUSTED,
+    "TooManyRequests": grpc.StatusCode.RESOURCE_EXHAUSTED,
+    "InternalError": grpc.StatusCode.INTERNAL,
+    "ServiceUnavailable": grpc.StatusCode.UNAVAILABLE,
+    "Timeout": grpc.StatusCode.DEADLINE_EXCEEDED,
+}
+HTTP_OF_CODE = {
+    grpc.StatusCode.INVALID_ARGUMENT: 400,
+    grpc.StatusCode.NOT_FOUND: 404,
+    grpc.StatusCode.UNIMPLEMENTED: 405,
+    grpc.StatusCode.ALREADY_EXISTS: 409,
+    grpc.StatusCode.ABORTED: 409,
+    grpc.StatusCode.OUT_OF_RANGE: 410,
+    grpc.StatusCode.RESOURCE_EXHAUSTED: 429,
+    grpc.StatusCode.INTERNAL: 500,
+    grpc.StatusCode.UNAVAILABLE: 503,
+    grpc.StatusCode.DEADLINE_EXCEEDED: 504,
+}
+
+
+def code_of(error: ApiError) -> grpc.StatusCode:
+    return CODE_OF_REASON.get(error.reason, grpc.StatusCode.UNKNOWN)
+
+
+def status_of(error: ApiError) -> status_pb2.Status:
+    """The whole status, with its details."""
+    code: int = code_of(error).value[0]
+    status = status_pb2.Status(code=code, message=error.message)
+    metadata = {"code": str(error.code)}
+    if error.name:
+        metadata["name"] = error.name
+    if error.resource is not None:
+        metadata["resource"] = error.resource.plural
+    info = error_details_pb2.ErrorInfo(reason=error.reason, domain=DOMAIN, metadata=metadata)
+    status.details.add().Pack(info)
+    if error.causes:
+        violations = [
+            error_details_pb2.BadRequest.FieldViolation(
+                field=cause.field, description=cause.message, reason=cause.reason
+            )
+            for cause in error.causes
+        ]
+        status.details.add().Pack(error_details_pb2.BadRequest(field_violations=violations))
+    if error.retry_after_s:
+        retry = error_details_pb2.RetryInfo()
+        retry.retry_delay.FromSeconds(error.retry_after_s)
+        status.details.add().Pack(retry)
+    return status
+
+
+def trailers(error: ApiError) -> tuple[tuple[str, bytes], ...]:
+    return ((DETAILS_KEY, status_of(error).SerializeToString()),)
+
+
+def error_of(
+    code: grpc.StatusCode, message: str, metadata: Iterable[tuple[str, str | bytes]] | None
+) -> ApiError | None:
+    """The placer's error that a call ended with; None where the status is the transport's."""
+    raw = next((value for key, value in metadata or () if key == DETAILS_KEY), None)
+    if not isinstance(raw, bytes):
+        return None
+    status = status_pb2.Status()
+    try:
+        status.ParseFromString(raw)
+    except Exception:  # DecodeError is not exported by all versions
+        return None
+    info = error_details_pb2.ErrorInfo()
+    found = False
+    causes: tuple[Cause, ...] = ()
+    retry_after_s = 0
+    for detail in status.details:
+        violations, retry = error_details_pb2.BadRequest(), error_details_pb2.RetryInfo()
+        if detail.Is(info.DESCRIPTOR):
+            found = detail.Unpack(info)
+        elif detail.Is(violations.DESCRIPTOR) and detail.Unpack(violations):
+            causes = tuple(Cause(v.field, v.description, v.reason) for v in violations.field_violations)
+        elif detail.Is(retry.DESCRIPTOR) and detail.Unpack(retry):
+            retry_after_s = max(1, round(retry.retry_delay.ToTimedelta().total_seconds()))
+    if not found or info.domain != DOMAIN:
+        return None
+    http = info.metadata.get("code", "")
+    return ApiError(
+        int(http) if http.isdigit() else HTTP_OF_CODE.get(code, 500),
+        message,
+        reason=info.reason,
+        name=info.metadata.get("name", ""),
+        causes=causes,
+        retry_after_s=retry_after_s,
+    )
+
+
+assert {code.value[0] for code in CODE_OF_REASON.values()} <= set(code_pb2.Code.values())
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -10,6 +10,7 @@
 import uuid
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import structlog
 
@@ -28,6 +29,9 @@
 from kelpfront.service.links import Link
 from kelpfront.store import ResourceStore, StoreLimits
 
+if TYPE_CHECKING:
+    from kelpfront.fronts.grpc import GrpcFront
+
 log = structlog.get_logger("kelpfront.placer")
 
 START_WAIT_S = 3.0  # for machines to say what they hold, before jobs are taken
@@ -77,6 +81,7 @@
         self.operations = Operations(self.heart, self.clock.now, chance)
         self.operations.closed = STARTING
         self.front = RestFront(self.operations, self._common_time, self.health, chance, times, self._read_log)
+        turns = Turns()  # of both fronts together
         self.http = HttpServer(
             self.front.handle,
             HttpLimits(
@@ -88,8 +93,19 @@
                 idle_timeout_s=limits.idle_time / 1000,
             ),
             error_body,
-            Turns(),
+            turns,
         )
+        self.grpc: GrpcFront | None = None
+        if config.placer.grpc is not None:
+            from kelpfront.fronts.grpc import GrpcFront, GrpcLimits
+
+            self.grpc = GrpcFront(
+                self.operations,
+                self.clock.now,
+                turns,
+                self.changed,
+                GrpcLimits(message_bytes=limits.body, metadata_bytes=limits.head, streams=limits.watches),
+            )
         self.links: dict[str, Link] = {}
         self.lag_ms = 0.0  # how late the heart's timers were at the worst, between two looks
         self._latest_ms = 0.0
@@ -116,10 +132,19 @@
     def url(self) -> str:
         return f"http://{self.config.placer.listen.rpartition(':')[0]}:{self.http.port}"
 
+    @property
+    def grpc_target(self) -> str:
+        """HOST:PORT of the gRPC API; empty where it is not served."""
+        if self.grpc is None or self.config.placer.grpc is None:
+            return ""
+        return f"{self.config.placer.grpc.rpartition(':')[0]}:{self.grpc.port}"
+
     async def start(self) -> None:
         """Listens and reaches out to the machines; jobs are taken once these have told what they hold."""
         host, _, port = self.config.placer.listen.rpartition(":")
         await self.http.start(host, int(port))
+        if self.grpc is not None:
+            await self.grpc.start(self.config.placer.grpc or "")
         self.heart.take_inventory(self.clock.now(), self._inventory)
         self.changed()
         self._spawn(self._open_for_jobs())
@@ -142,6 +167,8 @@
         await self._until(lambda: all(entry.settled for entry in entries.values()), START_WAIT_S)
         if not self._stopping:
             self.operations.closed = ""
+            if self.grpc is not None:
+                await self.grpc.set_ready(True)
             heard = sum(entry.settled for entry in entries.values())
             log.info("placer ready", machines_heard=heard, machines=len(self.heart.directory.entries))
 
@@ -151,11 +178,16 @@
             return
         self._stopping = True
         self.operations.closed = STOPPING
+        if self.grpc is not None:
+            await self.grpc.set_ready(False)
         longest = max(cls.deadline_ms for cls in self.heart.cluster.settings.classes)
         log.info("placer stops", open_tasks=self.heart.open_tasks)
         longest_s = max(longest, self.heart.longest_patience_ms(self.clock.now())) / 1000.0
         await self._until(lambda: not self.heart.open_tasks, longest_s + STOP_SLACK_S)
         self.front.end_watches()
+        if self.grpc is not None:
+            self.grpc.end_streams()
+            await self.grpc.close()
         await self.http.close()
         await self.close()
         log.info("placer stopped", open_tasks=self.heart.open_tasks)
@@ -172,6 +204,8 @@
     async def close(self) -> None:
         """Closes everything at once."""
         self.http.abort()
+        if self.grpc is not None:
+            await self.grpc.close(0.0)
         if self._armed is not None:
             self._armed.cancel()
         for task in list(self._jobs):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -32,8 +32,17 @@
     "config": {"kelpfront.placer"},
     "http": set(),
     "agent": {"kelpfront.machine", "kelpfront.http", "kelpfront.config"},
-    "client": {"kelpfront.api", "kelpfront.http"},
-    "fronts": {"kelpfront.api", "kelpfront.store", "kelpfront.http", "kelpfront.placer"},
+    "client": {"kelpfront.api", "kelpfront.http", "kelpfront.rpc", "kelpfront.v1"},
+    "rpc": {"kelpfront.api", "kelpfront.v1"},
+    "v1": set(),
+    "fronts": {
+        "kelpfront.rpc",
+        "kelpfront.v1",
+        "kelpfront.api",
+        "kelpfront.store",
+        "kelpfront.http",
+        "kelpfront.placer",
+    },
     "service": {
         "kelpfront.api",
         "kelpfront.store",
@@ -45,7 +54,7 @@
         "kelpfront.fronts",
     },
 }
-PURE = ("api", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
+PURE = ("api", "rpc", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
 """Parts that do no I/O and read no clock."""
 PURE_MACHINE = ("admission", "copies", "messages", "model", "node", "outbox", "telling", "warmup")
 PURE_AGENT = ("orphans", "recovery", "usage")
