--- a/kelpfront/api/jobs.py
+++ b/kelpfront/api/jobs.py
@@ -162,6 +162,10 @@
             raise ValueError(f"command and env: {size} bytes together; {MAX_RUN_BYTES} are allowed")
         return self
 
+    @property
+    def patience_ms(self) -> float | None:
+        return None if self.patience is None else parse_duration(self.patience)
+
 
 class Attempt(ApiModel):
     attempt: int = Field(ge=0, description="0, 1, 2 ... in the order of sending.")
--- a/kelpfront/api/meta.py
+++ b/kelpfront/api/meta.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 from dataclasses import dataclass
 from typing import Annotated, Any, Final
@@ -25,6 +26,11 @@
 LABEL_FORM = "letters, digits, '-', '_' and '.', at most 63, first and last a letter or digit"
 
 
+def name_of_token(token: str, prefix: str = "job-") -> str:
+    """The name of a job that was submitted with a client token and without a name."""
+    return prefix + hashlib.blake2b(token.encode(), digest_size=8).hexdigest()
+
+
 def check_name(value: str) -> str:
     """A resource's name: RFC 1123 subdomain."""
     if not _DNS_NAME.fullmatch(value):
--- a/kelpfront/client/__init__.py
+++ b/kelpfront/client/__init__.py
@@ -12,8 +12,9 @@
 from kelpfront.api.errors import ApiError
 from kelpfront.api.jobs import Answer, Job, JobSpec, Task, TaskState
 from kelpfront.api.machines import Machine
-from kelpfront.client.client import Client, ServerUnreachableError
+from kelpfront.client.client import Client
 from kelpfront.client.informer import Event
+from kelpfront.client.interface import PlacerClient, ServerUnreachableError, UnknownOutcomeError
 
 __all__ = [
     "Answer",
@@ -23,7 +24,9 @@
     "Job",
     "JobSpec",
     "Machine",
+    "PlacerClient",
     "ServerUnreachableError",
     "Task",
     "TaskState",
+    "UnknownOutcomeError",
 ]
--- a/kelpfront/client/client.py
+++ b/kelpfront/client/client.py
@@ -18,6 +18,7 @@
 from kelpfront.api.meta import API_VERSION, JOBS, MACHINES, Object, Resource
 from kelpfront.backoff import Backoff
 from kelpfront.client.informer import Event, Informer, status_error
+from kelpfront.client.interface import ServerUnreachableError
 from kelpfront.http.client import HttpConnection, HttpError, HttpPool, NotSentError, Reply
 
 CONNECTIONS = 64  # for requests; each watch has one of its own besides
@@ -26,14 +27,6 @@
 PAGE = 500
 
 
-class ServerUnreachableError(Exception):
-    """No answer came. `may_have_arrived` is False where it is certain that the request was not sent."""
-
-    def __init__(self, message: str, may_have_arrived: bool) -> None:
-        super().__init__(message)
-        self.may_have_arrived = may_have_arrived
-
-
 class Client:
     """To one placer.
 
@@ -202,7 +195,7 @@
                     for event in informer.listed(items, revision):
                         yield event
                 backoff.worked()
-                async for data in self._watch_lines(resource, namespace, selectors, informer):
+                async for data in self.watch_lines(resource, namespace, selectors, informer):
                     event_ = informer.line(data)
                     if event_ is not None:
                         yield event_
@@ -217,9 +210,10 @@
                 pause = backoff.failed()
             await asyncio.sleep(pause / 1000.0)
 
-    async def _watch_lines(
+    async def watch_lines(
         self, resource: Resource, namespace: str | None, selectors: dict[str, str], informer: Informer
     ) -> AsyncIterator[Any]:
+        """The lines of one watch, as data, from the informer's revision until it ends or breaks."""
         query = selectors | {
             "watch": "true",
             "allowWatchBookmarks": "true",
@@ -255,16 +249,23 @@
             raise ServerUnreachableError(str(error), True) from None
 
     async def request(
-        self, method: str, path: str, body: Object | None = None, *, content_type: str = "application/json"
+        self,
+        method: str,
+        path: str,
+        body: Object | None = None,
+        *,
+        content_type: str = "application/json",
+        headers: tuple[tuple[str, str], ...] | None = None,
+        timeout_s: float | None = None,
     ) -> Object:
-        """One request's JSON answer; ApiError for an error's."""
+        """One request's JSON answer; ApiError for an error's. `headers` in place of the one with the time."""
         raw = b"" if body is None else msgspec.json.encode(body)
-        headers = (
-            ("accept", "application/json"),
-            ("content-type", content_type),
-            sent_at_header(),
-        )
-        reply = await self._exchange(method, self._path + path, raw, headers if raw else headers[:1])
+        its_headers = [("accept", "application/json"), *(headers or ())]
+        if raw:
+            its_headers.append(("content-type", content_type))
+            if headers is None:
+                its_headers.append(sent_at_header())
+        reply = await self._exchange(method, self._path + path, raw, tuple(its_headers), timeout_s)
         data = _decoded(reply.body)
         if reply.status >= 400:
             raise status_error(data)
@@ -272,11 +273,17 @@
         return answer
 
     async def _exchange(
-        self, method: str, target: str, body: bytes, headers: tuple[tuple[str, str], ...]
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        timeout_s: float | None = None,
     ) -> Reply:
         sent = False
+        within_s = self._request_s if timeout_s is None else min(timeout_s, self._request_s)
         try:
-            async with asyncio.timeout(self._request_s):
+            async with asyncio.timeout(within_s):
                 connection = await self._pool.acquire()
                 try:
                     sent = True
@@ -288,7 +295,7 @@
         except HttpError as error:
             raise ServerUnreachableError(str(error), True) from None
         except TimeoutError:
-            raise ServerUnreachableError(f"no answer within {self._request_s:g} s", sent) from None
+            raise ServerUnreachableError(f"no answer within {within_s:.3g} s", sent) from None
 
 
 def sent_at_header() -> tuple[str, str]:
--- /dev/null
+++ b/kelpfront/client/rest.py
@@ -0,0 +1,79 @@
+"""The disciplined client over REST.
+
+```python
+from kelpfront.client import JobSpec
+from kelpfront.client.rest import RestClient
+
+async with RestClient(["http://127.0.0.1:8140", "http://127.0.0.1:8141"]) as client:
+    job = await client.submit("climate", JobSpec(class_="web", service="front", cores=1, memory=2))
+    job = await client.wait_answers(job)
+```
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+from kelpfront.api.meta import JOBS, MACHINES, Object, Resource
+from kelpfront.client.client import Client
+from kelpfront.client.disciplined import DisciplinedClient, Marks
+from kelpfront.client.informer import Informer
+
+
+def _headers(marks: Marks) -> tuple[tuple[str, str], ...]:
+    headers = [("kelpfront-sent-at", f"{marks.sent_at_ms:.3f}"), ("kelpfront-attempt", str(marks.attempt))]
+    if marks.previous:
+        headers.append(("kelpfront-previous", marks.previous))
+    return tuple(headers)
+
+
+class RestTransport:
+    """Single tries at one placer."""
+
+    def __init__(self, url: str) -> None:
+        self.address = url
+        self._client = Client(url)
+
+    async def create(self, namespace: str, body: Object, timeout_s: float, marks: Marks) -> Object:
+        path = self._client.path(JOBS, namespace)
+        return await self._client.request("POST", path, body, headers=_headers(marks), timeout_s=timeout_s)
+
+    async def read(
+        self, resource: Resource, namespace: str, name: str, timeout_s: float, marks: Marks
+    ) -> Object:
+        path = self._client.path(resource, namespace, name)
+        return await self._client.request("GET", path, headers=_headers(marks), timeout_s=timeout_s)
+
+    async def list_objects(
+        self, resource: Resource, namespace: str | None, timeout_s: float, marks: Marks
+    ) -> tuple[list[Object], str]:
+        return await self._client.list_objects(resource, namespace)
+
+    async def delete(self, namespace: str, name: str, timeout_s: float, marks: Marks) -> None:
+        path = self._client.path(JOBS, namespace, name)
+        await self._client.request("DELETE", path, headers=_headers(marks), timeout_s=timeout_s)
+
+    async def set_unschedulable(self, name: str, on: bool, timeout_s: float, marks: Marks) -> Object:
+        return await self._client.patch(MACHINES, None, name, {"spec": {"unschedulable": on}})
+
+    async def watch(
+        self, resource: Resource, namespace: str | None, name: str | None, revision: str | None
+    ) -> AsyncIterator[tuple[str, Object]]:
+        selectors = {} if name is None else {"fieldSelector": f"metadata.name={name}"}
+        informer = Informer()
+        informer.revision = revision
+        async for data in self._client.watch_lines(resource, namespace, selectors, informer):
+            line: Any = data
+            yield line["type"], line["object"]
+
+    def close(self) -> None:
+        self._client.close()
+
+
+class RestClient(DisciplinedClient):
+    """See `PlacerClient`; `urls` are of one placer or of several."""
+
+    def __init__(self, urls: str | Sequence[str], **discipline: Any) -> None:
+        its = [urls] if isinstance(urls, str) else urls
+        super().__init__([RestTransport(url) for url in its], **discipline)
--- /dev/null
+++ b/kelpfront/client/sync.py
@@ -0,0 +1,117 @@
+"""The client libraries for programs without asyncio: the same calls, one after another.
+
+```python
+from kelpfront.client import JobSpec
+from kelpfront.client.rest import RestClient
+from kelpfront.client.sync import SyncClient
+
+with SyncClient(lambda: RestClient("http://127.0.0.1:8140")) as client:
+    job = client.submit("climate", JobSpec(class_="web", service="front", cores=1, memory=2))
+    job = client.wait_answers(job)
+```
+"""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
+from types import TracebackType
+from typing import Any, TypeVar
+
+from kelpfront.api.jobs import Job, JobSpec
+from kelpfront.api.machines import Machine
+from kelpfront.client.informer import Event
+from kelpfront.client.interface import PlacerClient
+
+T = TypeVar("T")
+
+
+class SyncClient:
+    """Runs a client of `make`, which is called in the loop's thread, on a loop of its own."""
+
+    def __init__(self, make: Callable[[], PlacerClient]) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, name="kelpfront", daemon=True)
+        self._thread.start()
+
+        async def made() -> PlacerClient:
+            return make()
+
+        try:
+            self._client = self._run(made())
+        except BaseException:
+            self._end()
+            raise
+
+    def _run(self, coroutine: Coroutine[Any, Any, T]) -> T:
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        try:
+            return future.result()
+        except BaseException:  # Ctrl-C among them: the call is not to go on behind its caller's back
+            future.cancel()
+            raise
+
+    def _iterate(self, stream: AsyncIterator[T]) -> Iterator[T]:
+        async def following() -> T:
+            return await anext(stream)
+
+        async def close() -> None:
+            aclose = getattr(stream, "aclose", None)
+            if aclose is not None:
+                await aclose()
+
+        try:
+            while True:
+                try:
+                    yield self._run(following())
+                except StopAsyncIteration:
+                    return
+        finally:
+            self._run(close())
+
+    def submit(self, namespace: str, spec: JobSpec, **more: Any) -> Job:
+        """As `PlacerClient.submit`."""
+        return self._run(self._client.submit(namespace, spec, **more))
+
+    def get_job(self, namespace: str, name: str) -> Job:
+        return self._run(self._client.get_job(namespace, name))
+
+    def list_jobs(self, namespace: str | None = None) -> list[Job]:
+        return self._run(self._client.list_jobs(namespace))
+
+    def delete_job(self, namespace: str, name: str) -> None:
+        self._run(self._client.delete_job(namespace, name))
+
+    def follow(self, job: Job) -> Iterator[Job]:
+        return self._iterate(self._client.follow(job))
+
+    def wait_answers(self, job: Job, *, timeout_s: float | None = None) -> Job:
+        return self._run(self._client.wait_answers(job, timeout_s=timeout_s))
+
+    def watch_jobs(self, namespace: str | None = None) -> Iterator[Event]:
+        return self._iterate(self._client.watch_jobs(namespace))
+
+    def list_machines(self) -> list[Machine]:
+        return self._run(self._client.list_machines())
+
+    def set_unschedulable(self, machine: str, on: bool) -> Machine:
+        return self._run(self._client.set_unschedulable(machine, on))
+
+    def close(self) -> None:
+        if self._thread.is_alive():
+            self._run(self._client.__aexit__(None, None, None))
+            self._end()
+
+    def _end(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def __enter__(self) -> SyncClient:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
--- a/kelpfront/fronts/grpc/bindings.py
+++ b/kelpfront/fronts/grpc/bindings.py
@@ -205,10 +205,17 @@
     await context.abort(code_of(error), error.message, trailers(error))
 
 
+def mark_of(context: Context[Any, Any], name: str) -> str:
+    """What the client says of a call in its metadata; empty where it does not."""
+    for key, value in context.invocation_metadata() or ():
+        if key == name and isinstance(value, str):
+            return value
+    return ""
+
+
 def sent_at_of(context: Context[Any, Any]) -> float | None:
     """When the client sent the call, by its own clock."""
-    for key, value in context.invocation_metadata() or ():
-        if key == SENT_AT:
-            with contextlib.suppress(ValueError):
-                return float(value)
-    return None
+    try:
+        return float(mark_of(context, SENT_AT))
+    except ValueError:
+        return None
--- a/kelpfront/fronts/grpc/services.py
+++ b/kelpfront/fronts/grpc/services.py
@@ -14,7 +14,7 @@
 from kelpfront.api.errors import ApiError, expired
 from kelpfront.api.meta import JOBS, MACHINES, Object, Resource
 from kelpfront.api.selectors import Selector, parse_selector
-from kelpfront.fronts.grpc.bindings import BindingsStream, abort, sent_at_of
+from kelpfront.fronts.grpc.bindings import BindingsStream, abort, mark_of, sent_at_of
 from kelpfront.http.pacing import Turns
 from kelpfront.placer.operations import Operations
 from kelpfront.rpc.convert import job_data, job_message, machine_message, refuse_unknown
@@ -141,6 +141,7 @@
         self, request: pb.SubmitRequest, context: Context[Any, Any]
     ) -> pb.SubmitResponse:
         sent_at = sent_at_of(context)
+        self._operations.count_try(mark_of(context, "attempt"))
 
         def submit(received_at: float) -> pb.SubmitResponse:
             job, created = self._submit(request.namespace, request, received_at, sent_at)
--- a/kelpfront/fronts/rest/front.py
+++ b/kelpfront/fronts/rest/front.py
@@ -126,6 +126,7 @@
             case "POST" if creates:
                 self._refuse_dry_run(request)
                 received = self._received(request)
+                self._operations.count_try(request.headers.get("kelpfront-attempt", ""))
                 self._operations.check_open(received)
                 data = _body(request, JSON)
                 assert target.namespace is not None
--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,7 +15,16 @@
 from kelpfront.api.errors import ApiError, Cause, conflict, invalid
 from kelpfront.api.jobs import JOB_INPUT, JobInput, JobSpec
 from kelpfront.api.machines import MACHINE_INPUT
-from kelpfront.api.meta import JOBS, MACHINES, Object, ObjectMeta, Resource, check_name, check_namespace
+from kelpfront.api.meta import (
+    JOBS,
+    MACHINES,
+    Object,
+    ObjectMeta,
+    Resource,
+    check_name,
+    check_namespace,
+    name_of_token,
+)
 from kelpfront.api.patch import merge_patch
 from kelpfront.api.selectors import Selector
 from kelpfront.placer.heart import Heart
@@ -41,6 +49,14 @@
     def __init__(self, heart: Heart, now: Callable[[], float], rng: random.Random) -> None:
         self._heart, self._now, self._rng = heart, now, rng
         self.closed = ""
+        self.first_tries = self.retries = 0  # submissions that came in, by their clients' marks
+
+    def count_try(self, attempt: str) -> None:
+        """A submission came in, with the number of the try as its client marks it; none is a first."""
+        if attempt.isascii() and attempt.isdigit() and int(attempt[:9]) > 0:
+            self.retries += 1
+        else:
+            self.first_tries += 1
 
     @property
     def store(self) -> ResourceStore:
@@ -113,8 +129,7 @@
             return job.metadata.name
         prefix = job.metadata.generate_name or "job-"
         if job.spec.client_token is not None:
-            digest = hashlib.blake2b(job.spec.client_token.encode(), digest_size=8).hexdigest()
-            candidates = [prefix + digest]
+            candidates = [name_of_token(job.spec.client_token, prefix)]
         else:
             candidates = ["".join([prefix, *self._rng.choices(NAME_ALPHABET, k=8)]) for _ in range(4)]
         try:
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -14,6 +14,7 @@
     def __init__(self, port: int) -> None:
         self._to = port
         self.cut_after: int | None = None
+        self.swallow_answers = False  # what comes back is dropped
         self.connections = 0
         self._open: set[asyncio.StreamWriter] = set()
 
@@ -48,6 +49,8 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(4096):
+                if self.swallow_answers and writer in self._open:
+                    continue
                 if most is not None:
                     data, most = data[:most], most - len(data)
                 writer.write(data)
