kelpfront lab fronts and lab reconnect; a placer that starts says so instead of 404

Found by it: a placer that starts answered 404 for jobs that its machines had yet to tell, which clients took for deleted; a gRPC channel that waits in its own time brought its clients back in one instant (8 times the even share).

--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -82,6 +82,66 @@
     click.echo(json.dumps(figures, indent=None if as_json else 2))
 
 
+@lab.command("fronts")
+@click.option("--tasks", default=2000, show_default=True, help="Tasks of the mix, by each way.")
+@click.option("--both", default=200, show_default=True, help="Unsafe jobs by both protocols at once.")
+@click.option("--machines", default=12, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def fronts(tasks: int, both: int, machines: int, seed: int, as_json: bool) -> None:
+    """Drive the same work through each client library and compare how it ends, task by task.
+
+    Exit code 1 if an end differs, something started twice or an answer is missing.
+    """
+    from kelpfront.lab.fronts import Fronts, FrontsShape
+    from kelpfront.service.logs import configure_logs
+
+    configure_logs("error", "auto")
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    figures = asyncio.run(Fronts(FrontsShape(seed, tasks, machines, both), say).run())
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    if any(figures[name] for name in ("differences", "double_starts", "violations")):
+        raise SystemExit(1)
+
+
+@lab.command("reconnect")
+@click.option("--clients", default=1000, show_default=True)
+@click.option("--spread", default=5.0, show_default=True, help="Seconds over which they are to come back.")
+@click.option("--down", default=1.0, show_default=True, help="Seconds until the placer is started again.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def reconnect(clients: int, spread: float, down: float, seed: int, as_json: bool) -> None:
+    """Kill and restart a placer with many clients connected, half by each protocol, and see them come back.
+
+    Exit code 1 if a try was made after its deadline, a client did not come back in the stated time, some
+    100 ms held more than three times its even share, or retries were more than their budget.
+    """
+    from kelpfront.client.retry import BURST, SHARE
+    from kelpfront.lab.process import raise_file_limit
+    from kelpfront.lab.reconnect import HerdShape, Reconnect
+    from kelpfront.service.logs import configure_logs
+
+    configure_logs("error", "auto")
+    raise_file_limit()
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    with tempfile.TemporaryDirectory(prefix="kelpfront-herd-") as folder:
+        shape = HerdShape(seed, clients, spread, down)
+        figures = asyncio.run(Reconnect(shape, Path(folder), say).run())
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    over_budget = figures["retries"] > SHARE * figures["first_tries"] + BURST * clients
+    wrong = figures["retries_after_deadline"] or figures["within_interval"] < clients
+    if wrong or over_budget or figures["worst_100ms"] > 3:
+        raise SystemExit(1)
+
+
 @click.command("bad-day")
 @click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
 @click.option("--placers", default=4, show_default=True)
--- a/kelpfront/client/client.py
+++ b/kelpfront/client/client.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from typing import Any
 from urllib.parse import quote, urlencode, urlsplit
@@ -211,7 +211,12 @@
             await asyncio.sleep(pause / 1000.0)
 
     async def watch_lines(
-        self, resource: Resource, namespace: str | None, selectors: dict[str, str], informer: Informer
+        self,
+        resource: Resource,
+        namespace: str | None,
+        selectors: dict[str, str],
+        informer: Informer,
+        on_open: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Any]:
         """The lines of one watch, as data, from the informer's revision until it ends or breaks."""
         query = selectors | {
@@ -227,6 +232,8 @@
             try:
                 async with asyncio.timeout(SILENT_S):
                     status, _, pieces = await connection.stream("GET", target)
+                if status == 200:
+                    on_open()
                 iterator = pieces.__aiter__()
                 rest = b""
                 while True:
--- a/kelpfront/client/disciplined.py
+++ b/kelpfront/client/disciplined.py
@@ -53,9 +53,14 @@
     async def set_unschedulable(self, name: str, on: bool, timeout_s: float, marks: Marks) -> Object: ...
 
     def watch(
-        self, resource: Resource, namespace: str | None, name: str | None, revision: str | None
+        self,
+        resource: Resource,
+        namespace: str | None,
+        name: str | None,
+        revision: str | None,
+        on_open: Callable[[], None],
     ) -> AsyncIterator[tuple[str, Object]]:
-        """Events as they come, a BOOKMARK's object with its revision alone; ends where the stream breaks."""
+        """Events as they come, of a BOOKMARK the revision alone; `on_open` once the stream is up."""
 
     def close(self) -> None: ...
 
@@ -341,19 +346,23 @@
         transport, discipline = self._transports[address], self.discipline
         informer = Informer()
         failures, cut = 0, False
+
+        def opened() -> None:
+            nonlocal failures, cut
+            if cut:
+                self.reconnects = [*self.reconnects[-999:], self._clock()]
+            failures, cut = 0, False
+
         while True:
             try:
                 if informer.revision is None:
                     async for event in self._listed(transport, informer, resource, namespace, name):
                         yield event
-                async for kind, obj in transport.watch(resource, namespace, name, informer.revision):
-                    if failures or cut:
-                        failures, cut = 0, False
-                        self.reconnects = [*self.reconnects[-999:], self._clock()]
+                revision = informer.revision
+                async for kind, obj in transport.watch(resource, namespace, name, revision, opened):
                     event_ = informer.line({"type": kind, "object": obj})
                     if event_ is not None:
                         yield event_
-                cut = False
                 continue  # the server ended it, as it does after a while
             except ApiError as error:
                 if error.code == 410:
--- a/kelpfront/client/grpc.py
+++ b/kelpfront/client/grpc.py
@@ -13,13 +13,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any
 
 import grpc
 
 from kelpfront.api.errors import ApiError
 from kelpfront.api.meta import JOBS, Object, Resource
+from kelpfront.client.bindings import BindingsClient
 from kelpfront.client.disciplined import DisciplinedClient, Marks
 from kelpfront.client.interface import ServerUnreachableError
 from kelpfront.rpc.convert import job_object, machine_object, spec_message
@@ -66,24 +67,30 @@
 
     def __init__(self, target: str) -> None:
         self.address = target
-        self._channel = grpc.aio.insecure_channel(target, options=OPTIONS)
+        self._closing: set[asyncio.Task[None]] = set()
+        self._open()
+
+    def _open(self) -> None:
+        self._channel = grpc.aio.insecure_channel(self.address, options=OPTIONS)
         self._jobs: Any = api_pb2_grpc.JobsStub(self._channel)
         self._machines: Any = api_pb2_grpc.MachinesStub(self._channel)
-        self._closing: asyncio.Task[None] | None = None
 
     async def connect(self, within_s: float) -> None:
-        """Until the channel is up. A call on a channel that is up may arrive; before that none can have."""
-        ready = grpc.ChannelConnectivity.READY
+        """One attempt to have the channel up. On one that is up a call may arrive; before that none can have.
+
+        A channel that failed is replaced: it would try again in its own time, and all clients that wait for
+        theirs would be back in the instant in which their server is.
+        """
+        failed, ready = grpc.ChannelConnectivity.TRANSIENT_FAILURE, grpc.ChannelConnectivity.READY
+        if self._channel.get_state() is failed:
+            self._drop()
+            self._open()
         state = self._channel.get_state(try_to_connect=True)
-        if state is ready:
-            return
         try:
             async with asyncio.timeout(min(CONNECT_S, within_s)):
-                tried = False
                 while state is not ready:
-                    if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE and tried:
+                    if state is failed:
                         raise ServerUnreachableError(f"{self.address}: cannot be connected to", False)
-                    tried = tried or state is grpc.ChannelConnectivity.CONNECTING
                     await self._channel.wait_for_state_change(state)
                     state = self._channel.get_state(try_to_connect=True)
         except TimeoutError:
@@ -152,7 +159,12 @@
         return machine_object(await self._unary(self._machines.SetUnschedulable, request, timeout_s, marks))
 
     async def watch(
-        self, resource: Resource, namespace: str | None, name: str | None, revision: str | None
+        self,
+        resource: Resource,
+        namespace: str | None,
+        name: str | None,
+        revision: str | None,
+        on_open: Callable[[], None],
     ) -> AsyncIterator[tuple[str, Object]]:
         await self.connect(CONNECT_S)
         request = pb.WatchRequest(
@@ -163,6 +175,8 @@
         jobs = resource is JOBS
         call = (self._jobs if jobs else self._machines).Watch(request)
         try:
+            await call.initial_metadata()
+            on_open()
             async for event in call:
                 kind = EVENT_KINDS.get(event.type)
                 if kind is not None:
@@ -174,8 +188,20 @@
         finally:
             call.cancel()
 
+    def bindings(self) -> Any:
+        """A call of the Bindings stream."""
+        return self._jobs.Bindings()
+
+    def _drop(self) -> None:
+        task = asyncio.get_running_loop().create_task(self._channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
     def close(self) -> None:
-        self._closing = asyncio.get_running_loop().create_task(self._channel.close())
+        self._drop()
+
+    async def closed(self) -> None:
+        await asyncio.gather(*self._closing)
 
 
 class GrpcClient(DisciplinedClient):
@@ -185,9 +211,13 @@
         its = [targets] if isinstance(targets, str) else targets
         super().__init__([GrpcTransport(target) for target in its], **discipline)
 
+    def bindings(self, namespace: str, *, answers_only: bool = False) -> BindingsClient:
+        """A stream of jobs and of what becomes of them, to one placer."""
+        transport = self._transports[self.discipline.addresses.choose(self._now())]
+        return BindingsClient(transport, self.discipline, namespace, answers_only)
+
     async def __aexit__(self, *error: Any) -> None:
         self.close()
         for transport in self._transports:
             assert isinstance(transport, GrpcTransport)
-            if transport._closing is not None:
-                await transport._closing
+            await transport.closed()
--- a/kelpfront/client/rest.py
+++ b/kelpfront/client/rest.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any
 
 from kelpfront.api.meta import JOBS, MACHINES, Object, Resource
@@ -58,12 +58,17 @@
         return await self._client.patch(MACHINES, None, name, {"spec": {"unschedulable": on}})
 
     async def watch(
-        self, resource: Resource, namespace: str | None, name: str | None, revision: str | None
+        self,
+        resource: Resource,
+        namespace: str | None,
+        name: str | None,
+        revision: str | None,
+        on_open: Callable[[], None],
     ) -> AsyncIterator[tuple[str, Object]]:
         selectors = {} if name is None else {"fieldSelector": f"metadata.name={name}"}
         informer = Informer()
         informer.revision = revision
-        async for data in self._client.watch_lines(resource, namespace, selectors, informer):
+        async for data in self._client.watch_lines(resource, namespace, selectors, informer, on_open):
             line: Any = data
             yield line["type"], line["object"]
 
--- a/kelpfront/client/retry.py
+++ b/kelpfront/client/retry.py
@@ -16,15 +16,16 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-FIRST_MS = 100.0  # the longest pause before the first retry; it doubles with each
+FIRST_MS = 200.0  # the longest pause before the first retry; it doubles with each
 MOST_MS = 5_000.0
 SHARE = 0.1  # of first tries that may be retries, in the long run
-BURST = 10.0  # retries that may come at once: a client that has done nothing for long
+BURST = 3.0  # retries that may come at once: a client that has done nothing for long
 LEAST_LEFT_MS = 50.0  # of the deadline, for another try to be worth it
 EJECT_AFTER = 3  # failures in a row of one address
 EJECT_MS = 1_000.0  # for the first time; it doubles with each in a row
 EJECT_MOST_MS = 30_000.0
 EJECT_SHARE = 0.5  # of all addresses that may be avoided at a time
+RESTART_TRIES = 2  # to reconnect, before the placer is taken to be away for longer than a restart
 SPREAD_MS = 5_000.0  # the interval over which clients of a placer that went away come back
 
 
@@ -209,9 +210,11 @@
     def reconnect_ms(self, failures: int) -> float:
         """How long to stay away from a placer whose stream broke, `failures` tries to reconnect ago.
 
-        Evenly over the spread from the first on: those that were cut at one instant come back over it.
+        Evenly over the spread from the first on: those that were cut at one instant come back over it. It
+        grows only when the placer stays away for longer than a restart takes.
         """
-        return self.rng.uniform(0.0, self.spread_ms * min(4.0, 2.0**failures))
+        longer = max(0, failures - RESTART_TRIES)
+        return self.rng.uniform(0.0, self.spread_ms * min(4.0, 2.0**longer))
 
     def _pause(self, attempt: int, retry_after_ms: float) -> float:
         jittered = self.rng.uniform(0.0, min(MOST_MS, FIRST_MS * 2.0**attempt))
--- a/kelpfront/fronts/grpc/services.py
+++ b/kelpfront/fronts/grpc/services.py
@@ -73,6 +73,7 @@
             self._changed()
 
     def _watch(self, resource: Resource, request: pb.WatchRequest, wake: Callable[[], None]) -> Watch:
+        self._operations.check_known(resource)
         selector = _selector(resource, request)
         namespace = request.namespace or None
         since = _revision(request.resume_token) if request.resume_token else None
@@ -127,6 +128,7 @@
                 watch.close()
 
     def _page(self, resource: Resource, request: pb.ListRequest) -> tuple[list[Object], str, str]:
+        self._operations.check_known(resource)
         namespace = (request.namespace or None) if resource.namespaced else None
         if request.limit < 0:
             raise ApiError(400, f"limit: {request.limit} is below 0")
@@ -167,7 +169,7 @@
     ) -> resources_pb2.Job:
         def get(_: float) -> resources_pb2.Job:
             key = request.namespace, request.name
-            return job_message(self._operations.store.get(JOBS, key).body)
+            return job_message(self._operations.get(JOBS, key).body)
 
         return await self._answer(context, get)
 
--- a/kelpfront/fronts/rest/front.py
+++ b/kelpfront/fronts/rest/front.py
@@ -167,7 +167,7 @@
         jobs = resource is JOBS
         match request.method:
             case "GET" | "HEAD":
-                return Response(200, operations.store.get(resource, key).raw)
+                return Response(200, operations.get(resource, key).raw)
             case "PUT":
                 self._refuse_dry_run(request)
                 data, check = _body(request, JSON), _validation(request)
@@ -206,6 +206,7 @@
 
     def _list(self, request: Request, target: _Target) -> Response:
         store, resource = self._operations.store, target.resource
+        self._operations.check_known(resource)
         namespace = target.namespace if resource.namespaced else None
         limit = _whole(request, "limit")
         token = request.query.get("continue", "")
@@ -236,6 +237,7 @@
 
     def _watch(self, request: Request, target: _Target) -> Response:
         resource = target.resource
+        self._operations.check_known(resource)
         since = _whole(request, "resourceVersion") or None
         initial = _flag(request, "sendInitialEvents")
         bookmarks = _flag(request, "allowWatchBookmarks")
--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import resource
 import signal
 import tempfile
 import time
@@ -32,7 +30,7 @@
 from kelpfront.lab.checker import Figures, Verdict, check
 from kelpfront.lab.fleet import FleetModel
 from kelpfront.lab.owners import ClassShape, OwnersTask
-from kelpfront.lab.process import END_WITHIN_S, Placer, Process
+from kelpfront.lab.process import END_WITHIN_S, Placer, Process, raise_file_limit
 from kelpfront.lab.recording import Recorder, read_recordings
 from kelpfront.lab.script import BadDay, DayShape, Drain, PlacerFault, bad_day
 from kelpfront.lab.setup import make_hosts, write_csv
@@ -352,7 +350,7 @@
     agents: int = 0,
 ) -> tuple[Verdict, dict[str, Any]]:
     """Plays a bad day in a folder that is removed after it, or in `keep`."""
-    _raise_file_limit()
+    raise_file_limit()
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # or its processes live on
@@ -362,11 +360,3 @@
         return await Day(shape, keep, model, quiet, say, agents).run()
     with tempfile.TemporaryDirectory(prefix="kelpfront-day-") as folder:
         return await Day(shape, Path(folder), model, quiet, say, agents).run()
-
-
-def _raise_file_limit() -> None:
-    """As many files as this user may have: each link is a socket or more."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < hard:
-        with contextlib.suppress(ValueError, OSError):
-            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
--- a/kelpfront/lab/process.py
+++ b/kelpfront/lab/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -60,9 +61,12 @@
         return await self._process.wait()
 
     def go(self) -> None:
-        """A line on standard input: the day begins."""
+        """A line on standard input: what it waits for is there."""
+        self.say(b"go")
+
+    def say(self, line: bytes) -> None:
         assert self._process is not None and self._process.stdin is not None
-        self._process.stdin.write(b"go\n")
+        self._process.stdin.write(line + b"\n")
 
     def cpu_now(self) -> float:
         """CPU seconds of this life so far."""
@@ -104,11 +108,14 @@
 class Placer:
     """A placer over its lives, on one port."""
 
-    def __init__(self, number: int, count: int, work: Path, rooms: Sequence[str]) -> None:
+    def __init__(
+        self, number: int, count: int, work: Path, rooms: Sequence[str], grpc: str | None = None
+    ) -> None:
         self.number, self.name = number, f"placer-{number}"
         self._count, self._work, self._rooms = count, work, rooms
         self._listen = "127.0.0.1:0"
         self.url = ""
+        self.grpc = grpc or ""  # where its gRPC API is, if it has one
         self.process: Process | None = None
         self.cpu_s = 0.0
 
@@ -129,10 +136,12 @@
             f"placer.listen={self._listen}",
             "--set",
             f"cluster.placers={self._count}",
+            *(("--set", f"placer.grpc={self.grpc}") if self.grpc else ()),
             log_to=self._work / f"{self.name}.log",
         )
         await self.process.start()
-        self.url = (await self.process.line())["url"]
+        told = await self.process.line()
+        self.url, self.grpc = told["url"], told.get("grpc", "")
         self._listen = self.url.removeprefix("http://")
 
     async def ready(self) -> None:
@@ -149,3 +158,11 @@
         self.process.kill()
         self.cpu_s += self.process.cpu_s
         await self.process.wait(END_WITHIN_S)
+
+
+def raise_file_limit() -> None:
+    """As many files as this user may have: each link is a socket or more."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < hard:
+        with contextlib.suppress(ValueError, OSError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -49,6 +49,7 @@
     def __init__(self, heart: Heart, now: Callable[[], float], rng: random.Random) -> None:
         self._heart, self._now, self._rng = heart, now, rng
         self.closed = ""
+        self.starting = False  # what runs is not known yet
         self.first_tries = self.retries = 0  # submissions that came in, by their clients' marks
 
     def count_try(self, attempt: str) -> None:
@@ -62,6 +63,21 @@
     def store(self) -> ResourceStore:
         return self._heart.store
 
+    def get(self, resource: Resource, key: tuple[str, str]) -> Stored:
+        """The object; ApiError 404 where there is none, 503 where that is not known yet."""
+        stored = self.store.find(resource, key)
+        if stored is None:
+            self.check_known(resource)
+        return self.store.get(resource, key)
+
+    def check_known(self, resource: Resource) -> None:
+        """503 for jobs while the placer starts: those that run are still to be told by their machines.
+
+        A client that was told that its job is not there would ask for it anew, or take it for deleted.
+        """
+        if resource is JOBS and self.starting:
+            raise ApiError(503, self.closed, retry_after_s=1)
+
     # ---- Jobs -----------------------------------------------------------------------------------------
 
     def check_open(self, received_at: float) -> None:
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -79,7 +79,7 @@
         )
         self.heart.verbose = config.log.level == "debug"
         self.operations = Operations(self.heart, self.clock.now, chance)
-        self.operations.closed = STARTING
+        self.operations.closed, self.operations.starting = STARTING, True
         self.front = RestFront(self.operations, self._common_time, self.health, chance, times, self._read_log)
         turns = Turns()  # of both fronts together
         self.http = HttpServer(
@@ -165,6 +165,7 @@
         """Until machines have told what they hold, a job that is asked for anew might run already."""
         entries = self.heart.directory.entries
         await self._until(lambda: all(entry.settled for entry in entries.values()), START_WAIT_S)
+        self.operations.starting = False
         if not self._stopping:
             self.operations.closed = ""
             if self.grpc is not None:
