Machines over gRPC: one stream for each placer, many offers in flight, behind the same interface

Streamed offers beside the HTTP way, for stand-ins and agents alike: grpc:// in the inventory. The machines' server answers offers and tells placers without regard to the protocol, so that faults and recordings work over both.

--- a/kelpfront/agent/server.py
+++ b/kelpfront/agent/server.py
@@ -77,12 +77,18 @@
             most = int(query.get("tailBytes", LOG_USUAL))
         except ValueError:
             return Response(400, encode({"error": "attempt, tailBytes: whole numbers are expected"}))
-        folder = self._folder_of(query.get("task", ""), attempt)
-        if folder is None:
+        text = await self.read_log(query.get("task", ""), attempt, most)
+        if text is None:
             return Response(404, encode({"error": f"task {query.get('task', '')!r}: no output is kept here"}))
-        text = await asyncio.to_thread(read_output, folder, max(0, min(most, LOG_MOST)))
         return Response(200, text, "text/plain; charset=utf-8")
 
+    async def read_log(self, task: str, attempt: int | None, most: int) -> bytes | None:
+        """The last bytes of a task's output; None where none is kept."""
+        folder = self._folder_of(task, attempt)
+        if folder is None:
+            return None
+        return await asyncio.to_thread(read_output, folder, max(0, min(most, LOG_MOST)))
+
 
 def read_output(folder: Path, most: int) -> bytes:
     """The last bytes of a task's output, over its rotated files."""
--- a/kelpfront/agent/service.py
+++ b/kelpfront/agent/service.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -42,6 +42,9 @@
 from kelpfront.machine.node import Node
 from kelpfront.machine.warmup import Warmup
 
+if TYPE_CHECKING:
+    from kelpfront.machine.grpcserver import GrpcNode
+
 log = structlog.get_logger("kelpfront.agent")
 
 LOOK_S = 1.0  # between looks for what notices may have missed, and for orphans
@@ -96,6 +99,7 @@
         self._spawner = Spawner(self.folder)
         self._orphans = Orphans(config.tasks.orphans)
         self.orphaned = 0
+        self.grpc: GrpcNode | None = None
 
     # ---- Start ----------------------------------------------------------------------------------------
 
@@ -137,6 +141,7 @@
             host, _, port = self.config.agent.listen.rpartition(":")
             try:
                 await self.server.start(host, int(port))
+                await self._start_grpc()
             except OSError as error:
                 raise AgentError(f"{self.config.agent.listen}: {error.strerror or error}") from None
         except BaseException:
@@ -151,6 +156,23 @@
         self.ready_ms = (time.monotonic() - self._began) * 1000.0
         log.info("agent ready", url=self.url, tasks=len(self.node.tasks), ready_ms=round(self.ready_ms, 1))
 
+    async def _start_grpc(self) -> None:
+        if self.config.agent.grpc is None:
+            return
+        try:
+            from kelpfront.machine.grpcserver import GrpcNode
+        except ImportError:
+            raise AgentError("[agent] grpc: needs more packages: pip install 'kelpfront[grpc]'") from None
+        self.grpc = GrpcNode(self.server, self.server.read_log)
+        await self.grpc.start(self.config.agent.grpc)
+
+    @property
+    def grpc_target(self) -> str:
+        """HOST:PORT where placers reach it by gRPC; empty where they do not."""
+        if self.grpc is None or self.config.agent.grpc is None:
+            return ""
+        return f"{self.config.agent.grpc.rpartition(':')[0]}:{self.grpc.port}"
+
     @property
     def url(self) -> str:
         return f"http://{self.config.agent.listen.rpartition(':')[0]}:{self.server.http.port}"
@@ -449,7 +471,7 @@
     def _write_address(self) -> None:
         """Where commands on this host find the agent."""
         part = self.folder / "agent.part"
-        part.write_text(json.dumps({"url": self.url, "pid": os.getpid()}))
+        part.write_text(json.dumps({"url": self.url, "grpc": self.grpc_target, "pid": os.getpid()}))
         part.replace(self.folder / "agent.json")
 
     async def close(self) -> None:
@@ -457,6 +479,8 @@
         for task in list(self._jobs):
             task.cancel()
         await asyncio.gather(*self._jobs, return_exceptions=True)
+        if self.grpc is not None:
+            await self.grpc.close()
         if hasattr(self, "server"):
             await self.server.close()
         if hasattr(self, "runtime"):
--- a/kelpfront/cli/serve.py
+++ b/kelpfront/cli/serve.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Literal
 
 import click
 import msgspec
@@ -81,6 +81,13 @@
 @click.option(
     "--copies", type=click.Path(path_type=Path), help="A folder shared with node agents of their rooms."
 )
+@click.option(
+    "--protocol",
+    type=click.Choice(["http", "grpc"]),
+    default="http",
+    show_default=True,
+    help="Spoken to placers.",
+)
 def machines(
     config_path: Path,
     overrides: tuple[str, ...],
@@ -93,6 +100,7 @@
     seed: int,
     cold: bool,
     copies: Path | None,
+    protocol: Literal["http", "grpc"],
 ) -> None:
     """Run stand-in machines, for rehearsal: the real protocol, simulated tasks, scripted faults."""
     from kelpfront.agent.copies import FileCopies
@@ -126,7 +134,7 @@
             loop.add_signal_handler(number, stop.set)
         recorder = Recorder("machines", record)
         board = None if copies is None else FileCopies(copies)
-        fleet = Fleet(its, hosts, model, seed, CommonClock().now, recorder, board)
+        fleet = Fleet(its, hosts, model, seed, CommonClock().now, recorder, board, protocol)
         ports = None
         if write_inventory is None:
             ports = {host.name: int(host.address.rpartition(":")[2]) for host in hosts}
--- a/kelpfront/config/agent.py
+++ b/kelpfront/config/agent.py
@@ -21,6 +21,9 @@
     rack: Text = Field(description="The rack that it is in.")
     room: Text = Field(description="The room that it is in.")
     listen: Address = Field("127.0.0.1:8150", description="Where placers and operators reach it.")
+    grpc: Address | None = Field(
+        None, description="Where placers reach it by gRPC besides (needs kelpfront[grpc]); nowhere if absent."
+    )
     state: Text = Field("agent-state", description="The folder of its state and its tasks, from here.")
     state_size: Annotated[int, Size("64 KiB", "1024 GiB")] = Field(
         parse_size("256 MiB"), description="The most that the record of its tasks may take on disk."
--- a/kelpfront/http/server.py
+++ b/kelpfront/http/server.py
@@ -62,6 +62,11 @@
 
         return cancel
 
+    def leave(self) -> None:
+        """The other end is gone."""
+        self.gone = True
+        self._changed()
+
     def _changed(self) -> None:
         for call in list(self._on_change):
             call()
@@ -144,8 +149,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self._peer.gone = True
-        self._peer._changed()
+        self._peer.leave()
 
 
 class HttpServer:
--- a/kelpfront/inventory/build.py
+++ b/kelpfront/inventory/build.py
@@ -155,7 +155,9 @@
                 address = f"http://{address}"
             if not _is_address(address):
                 self.problem(
-                    cell, row.host.text, f"address {cell.text!r} is not HOST:PORT or http://HOST:PORT"
+                    cell,
+                    row.host.text,
+                    f"address {cell.text!r} is not HOST:PORT, http://HOST:PORT or grpc://HOST:PORT",
                 )
                 return ""
             if port is not None and port.text:
@@ -191,6 +193,6 @@
 def _is_address(text: str) -> bool:
     try:
         parts = urlsplit(text)
-        return parts.scheme == "http" and bool(parts.hostname) and bool(parts.port)
+        return parts.scheme in ("http", "grpc") and bool(parts.hostname) and bool(parts.port)
     except ValueError:
         return False
--- a/kelpfront/inventory/model.py
+++ b/kelpfront/inventory/model.py
@@ -16,7 +16,7 @@
     room: str
     cores: float
     memory: float
-    address: str  # http://HOST:PORT, perhaps with a path
+    address: str  # http://HOST:PORT, perhaps with a path, or grpc://HOST:PORT
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelpfront/lab/agents.py
+++ b/kelpfront/lab/agents.py
@@ -157,7 +157,9 @@
             cold_from=warmup.cold_from,
             cold_ms=warmup.cold_ms,
         )
-    sys.stdout.write(json.dumps({"url": service.url, "readyMs": service.ready_ms}) + "\n")
+    sys.stdout.write(
+        json.dumps({"url": service.url, "grpc": service.grpc_target, "readyMs": service.ready_ms}) + "\n"
+    )
     sys.stdout.flush()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/kelpfront/lab/fleet.py
+++ b/kelpfront/lab/fleet.py
@@ -13,7 +13,7 @@
 from kelpfront.config import Config
 from kelpfront.inventory import Host
 from kelpfront.lab.recording import Recorder
-from kelpfront.lab.standin import MachineModel, StandIn, TaskModel, boot_again
+from kelpfront.lab.standin import MachineModel, Protocol, StandIn, TaskModel, boot_again
 from kelpfront.machine.admission import Capacity
 from kelpfront.machine.copies import BoardOfMachines, CopyBoard
 from kelpfront.machine.model import NodeSettings
@@ -73,12 +73,20 @@
         now: Callable[[], float],
         recorder: Recorder,
         copies: BoardOfMachines | None = None,
+        protocol: Protocol = "http",
     ) -> None:
+        self._protocol = protocol
         self._recorder = recorder
         copies = copies or CopyBoard()
         self.machines = {
             host.name: StandIn(
-                node_settings(config, host, model), machine_model(config, model), seed, now, recorder, copies
+                node_settings(config, host, model),
+                machine_model(config, model),
+                seed,
+                now,
+                recorder,
+                copies,
+                protocol,
             )
             for host in hosts
         }
@@ -91,7 +99,7 @@
         addressed = []
         for name, machine in self.machines.items():
             port = machine.take_port(port=(ports or {}).get(name, 0))
-            addressed.append(replace(self._hosts[name], address=f"http://127.0.0.1:{port}"))
+            addressed.append(replace(self._hosts[name], address=f"{self._protocol}://127.0.0.1:{port}"))
             await machine.boot(cold)
         return addressed
 
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -11,16 +11,30 @@
 import random
 import socket
 from collections import defaultdict, deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Literal
 
-from kelpfront.http.server import Abort, HttpLimits, Request, Response
+from kelpfront.http.server import Abort, HttpLimits, Peer, Request, Response
 from kelpfront.lab.recording import Recorder
 from kelpfront.machine.copies import BoardOfMachines
-from kelpfront.machine.messages import Answer, Gone, Heartbeat, Note, OfferRequest, Sequenced, encode
+from kelpfront.machine.messages import (
+    Answer,
+    Gone,
+    Heartbeat,
+    Note,
+    OfferRequest,
+    Sequenced,
+    StreamMessage,
+)
 from kelpfront.machine.model import Begin, Halt, NodeSettings, TakeOver
 from kelpfront.machine.node import Node
-from kelpfront.machine.server import STATUS_OF_ANSWER, MachineServer
+from kelpfront.machine.server import MachineServer
+
+if TYPE_CHECKING:
+    from kelpfront.machine.grpcserver import GrpcNode
+
+Protocol = Literal["http", "grpc"]
 
 USE_PERIOD_S = 0.5
 LEFT_KEPT = 1000  # offers whose placers have left, so that each is told of once
@@ -76,7 +90,7 @@
         super().__init__(node, standin, standin.now, limits)
         self._standin = standin
 
-    async def take_offer(self, offered: OfferRequest, request: Request) -> Response:
+    async def offer_answer(self, offered: OfferRequest, request: Request) -> Answer:
         standin, offer = self._standin, offered.offer
         standin.offered(offered)
         key = offer.task, offer.attempt
@@ -86,7 +100,7 @@
         finally:
             forget()
 
-    async def _answer_offer(self, offered: OfferRequest, request: Request) -> Response:
+    async def _answer_offer(self, offered: OfferRequest, request: Request) -> Answer:
         standin, offer = self._standin, offered.offer
         key = offer.task, offer.attempt
         if (refusal := standin.says_full(offer.cls)) is not None:
@@ -109,7 +123,10 @@
             reason=answer.reason,
             delivered=delivered,
         )
-        return Response(STATUS_OF_ANSWER[answer.answer], encode(answer))
+        return answer
+
+    async def until_probed(self) -> None:
+        await self._standin.until_heard()
 
     async def handle(self, request: Request) -> Response:
         response = await super().handle(request)
@@ -126,12 +143,21 @@
             case Gone(_, task, attempt, cause):
                 self._standin.record("gone-told", placer=placer, task=task, attempt=attempt, cause=cause)
 
-    async def _lines(self, placer, first, wake, request, stop_watching) -> AsyncIterator[bytes]:  # type: ignore[no-untyped-def]
-        async for chunk in super()._lines(placer, first, wake, request, stop_watching):
-            await self._standin.until_heard()
-            while self._standin.troubles.mute:  # noqa: ASYNC110 - a test's or script's switch
-                await asyncio.sleep(0.02)
-            yield chunk
+    async def _messages(
+        self,
+        placer: str,
+        first: int | None,
+        wake: asyncio.Event,
+        peer: Peer,
+        stop_watching: Callable[[], None],
+    ) -> AsyncGenerator[list[StreamMessage], None]:
+        messages = super()._messages(placer, first, wake, peer, stop_watching)
+        async with contextlib.aclosing(messages) as batches:
+            async for batch in batches:
+                await self._standin.until_heard()
+                while self._standin.troubles.mute:  # noqa: ASYNC110 - a test's or script's switch
+                    await asyncio.sleep(0.02)
+                yield batch
 
 
 class StandIn:
@@ -145,13 +171,15 @@
         now: Callable[[], float],
         recorder: Recorder,
         copies: BoardOfMachines,
+        protocol: Protocol = "http",
     ) -> None:
         self.settings, self.model, self.now = settings, model, now
         self.rng = random.Random(f"{seed}/{settings.name}")
         self.troubles = Troubles()
         self.server: _Server | None = None
         self.fallen = False
-        self._recorder, self._copies = recorder, copies
+        self._recorder, self._copies, self.protocol = recorder, copies, protocol
+        self._grpc: GrpcNode | None = None
         self._lives = 0
         self._cold = False
         self._heard = asyncio.Event()
@@ -160,6 +188,7 @@
         self._beats: deque[tuple[float, Heartbeat]] = deque(maxlen=4096)
         self._class_offers: dict[str, deque[float]] = {}
         self._left: dict[tuple[str, int], None] = {}
+        self._closing: set[asyncio.Task[None]] = set()
         self._timers: dict[asyncio.TimerHandle, None] = {}
         self._use: dict[str, tuple[float, float]] = {}
         self._told_use: dict[str, tuple[float, float]] = {}
@@ -213,7 +242,13 @@
             cold_from=warmup.cold_from,
             cold_ms=warmup.cold_ms,
         )
-        await self.server.start(*self._address, reuse_port=True)
+        if self.protocol == "grpc":
+            from kelpfront.machine.grpcserver import GrpcNode
+
+            self._grpc = GrpcNode(self.server)
+            await self._grpc.start(f"{self._address[0]}:{self._address[1]}", reuse_port=True)
+        else:
+            await self.server.start(*self._address, reuse_port=True)
         self._later(USE_PERIOD_S * self.rng.random(), self._use_tick)
 
     def crash(self, why: str = "crash") -> None:
@@ -232,6 +267,11 @@
         self._beats.clear()
         self._copies.remove_machine(self.name)
         server.abort()
+        if self._grpc is not None:
+            node, self._grpc = self._grpc, None
+            closing = asyncio.get_running_loop().create_task(node.close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def close(self) -> None:
         self.crash("closed")
--- a/kelpfront/machine/server.py
+++ b/kelpfront/machine/server.py
@@ -7,17 +7,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+import contextlib
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import Protocol
 
 import msgspec
 
-from kelpfront.http.server import HttpLimits, HttpServer, Request, Response
+from kelpfront.http.server import HttpLimits, HttpServer, Peer, Request, Response
 from kelpfront.machine.messages import (
     Answer,
     Heartbeat,
     OfferRequest,
     Sequenced,
+    StopReply,
+    StopRequest,
+    StreamMessage,
     decode_offer_request,
     decode_stop_request,
     encode,
@@ -121,9 +125,7 @@
                 case "POST", "/v1/offers":
                     return await self.take_offer(decode_offer_request(request.body), request)
                 case "POST", "/v1/stops":
-                    reply = self.node.stop(self._now(), decode_stop_request(request.body))
-                    self.changed()
-                    return Response(200, encode(reply))
+                    return Response(200, encode(self.stop(decode_stop_request(request.body))))
                 case "GET", "/v1/probe":
                     return Response(200, encode(self.node.load()))
                 case "GET", "/v1/stream":
@@ -132,10 +134,22 @@
             return Response(400, encode({"error": str(error)}))
         return Response(404, encode({"error": f"{request.method} {request.path}: no such call"}))
 
+    def stop(self, request: StopRequest) -> StopReply:
+        reply = self.node.stop(self._now(), request)
+        self.changed()
+        return reply
+
+    async def until_probed(self) -> None:
+        """A hook: a probe came in; its answer waits for this."""
+
     async def take_offer(self, offered: OfferRequest, request: Request) -> Response:
-        answer = await self.answer_of(offered, request)
+        answer = await self.offer_answer(offered, request)
         return Response(STATUS_OF_ANSWER[answer.answer], encode(answer))
 
+    async def offer_answer(self, offered: OfferRequest, request: Request) -> Answer:
+        """The answer to an offer, as it goes out; Abort where it is lost with its connection."""
+        return await self.answer_of(offered, request)
+
     async def answer_of(self, offered: OfferRequest, request: Request) -> Answer:
         """The node's answer; an offer whose placer leaves meanwhile is abandoned."""
         offer = offered.offer
@@ -173,7 +187,16 @@
             first = int(request.query["from"]) if "from" in request.query else None
         except ValueError:
             return Response(400, encode({"error": "from: a whole number is expected"}))
-        boot = request.query.get("boot", "")
+        messages = self.placer_messages(placer, request.query.get("boot", ""), first, request.peer)
+        return Response(200, content_type="application/jsonl", stream=_lines(messages))
+
+    def placer_messages(
+        self, placer: str, boot: str, first: int | None, peer: Peer
+    ) -> AsyncGenerator[list[StreamMessage], None]:
+        """What a placer is told, from number `first` of `boot` on, for as long as `peer` is there.
+
+        A new stream of a placer ends its older one.
+        """
         if boot and boot != self.node.boot:
             first = None  # numbers of an earlier life mean nothing now
         elif first is not None:
@@ -183,30 +206,28 @@
         self._streams[placer] = wake
         if older is not None:
             older.set()
-        stop_watching = request.peer.on_change(wake.set)
-        lines = self._lines(placer, first, wake, request, stop_watching)
-        return Response(200, content_type="application/jsonl", stream=lines)
+        stop_watching = peer.on_change(wake.set)
+        return self._messages(placer, first, wake, peer, stop_watching)
 
-    async def _lines(
+    async def _messages(
         self,
         placer: str,
         first: int | None,
         wake: asyncio.Event,
-        request: Request,
+        peer: Peer,
         stop_watching: Callable[[], None],
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[list[StreamMessage], None]:
         node = self.node
         outbox = node.outbox(placer)
         outbox.on_change = wake.set
         hello = node.hello(self._now(), placer, first)
-        out = [hello]
+        out: list[StreamMessage] = [hello]
         if hello.resumed:
             at = hello.next_seq
         else:
             snapshot = node.snapshot(placer)
-            out.append(snapshot)  # type: ignore[arg-type]
+            out.append(snapshot)
             at = snapshot.seq + 1
-        lines = [encode(message) for message in out]
         loop = asyncio.get_running_loop()
         beat_at = loop.time()
         draining = node.draining
@@ -215,25 +236,25 @@
                 wake.clear()
                 if outbox.reaches(at):
                     missed = outbox.since(at)
-                    lines += [encode(message) for message in missed]
+                    out += missed
                     for message in missed:
                         self.streamed(placer, message)
                     at += len(missed)
                 else:  # the placer read too slowly: what it missed is no longer kept
                     snapshot = node.snapshot(placer)
-                    lines.append(encode(snapshot))
+                    out.append(snapshot)
                     at = snapshot.seq + 1
-                lines += [encode(note) for note in outbox.take_notes()]
+                out += outbox.take_notes()
                 if loop.time() >= beat_at or node.draining != draining:
                     draining = node.draining
                     beat_at = loop.time() + node.settings.heartbeat_ms / 1000.0
                     beat = self.heartbeat()
-                    lines.append(encode(beat))
+                    out.append(beat)
                     self.streamed(placer, beat)
-                if lines:
-                    yield b"\n".join(lines) + b"\n"
-                    lines = []
-                if self._streams.get(placer) is not wake or self.closed.is_set() or request.peer.gone:
+                if out:
+                    yield out
+                    out = []
+                if self._streams.get(placer) is not wake or self.closed.is_set() or peer.gone:
                     return
                 if at < outbox.next_seq:
                     continue
@@ -259,5 +280,11 @@
         """A hook: the placer's stream carries this message now."""
 
 
+async def _lines(messages: AsyncGenerator[list[StreamMessage], None]) -> AsyncIterator[bytes]:
+    async with contextlib.aclosing(messages) as batches:
+        async for batch in batches:
+            yield b"\n".join([encode(message) for message in batch]) + b"\n"
+
+
 def _nothing() -> None:
     pass
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -26,7 +26,7 @@
 from kelpfront.placer.intents import AbandonOffer, LogLine, SendOffer, SendProbe, SendStop
 from kelpfront.placer.operations import Operations
 from kelpfront.service.garbage import FREEZE_S, Collector
-from kelpfront.service.links import Link
+from kelpfront.service.links import MachineLink, make_link
 from kelpfront.store import ResourceStore, StoreLimits
 
 if TYPE_CHECKING:
@@ -106,7 +106,7 @@
                 self.changed,
                 GrpcLimits(message_bytes=limits.body, metadata_bytes=limits.head, streams=limits.watches),
             )
-        self.links: dict[str, Link] = {}
+        self.links: dict[str, MachineLink] = {}
         self.lag_ms = 0.0  # how late the heart's timers were at the worst, between two looks
         self._latest_ms = 0.0
         self._chance = chance
@@ -280,7 +280,7 @@
             self._sync_links()
         self._arm()
 
-    def _link(self, host: str) -> Link:
+    def _link(self, host: str) -> MachineLink:
         if host not in self.links:
             self._sync_links()
         return self.links[host]
@@ -296,7 +296,7 @@
                 self._drop_link(name)
                 link = None
             if link is None and not (entry.removed and not entry.tasks):
-                self.links[name] = Link(
+                self.links[name] = make_link(
                     name, entry.host.address, self.heart, self.clock.now, self.changed, self._chance
                 )
         for name in [name for name in self.links if name not in entries]:
--- a/kelpfront/service/links.py
+++ b/kelpfront/service/links.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import quote, urlsplit
 
 import msgspec
@@ -44,8 +44,43 @@
 LINE_MOST = 64 << 20  # bytes of one message: a snapshot of some ten thousand tasks
 
 
+class MachineLink(Protocol):
+    """What the placer asks of a link, whichever protocol it speaks."""
+
+    address: str
+
+    def offer(self, intent: SendOffer) -> None: ...
+
+    def abandon(self, intent: AbandonOffer) -> None: ...
+
+    def stop(self, intent: SendStop) -> None: ...
+
+    def probe(self, intent: SendProbe) -> None: ...
+
+    async def read_log(self, task: str, attempt: int, most: int) -> tuple[int, bytes]:
+        """Status, 200 or 404, and output of a task; HttpError or TimeoutError where there is no answer."""
+
+    async def close(self) -> None: ...
+
+
+def make_link(
+    host: str,
+    address: str,
+    heart: Heart,
+    now: Callable[[], float],
+    changed: Callable[[], None],
+    rng: random.Random,
+) -> MachineLink:
+    """The link for an address: grpc://HOST:PORT or http://HOST:PORT."""
+    if address.startswith("grpc://"):
+        from kelpfront.service.grpclinks import GrpcLink
+
+        return GrpcLink(host, address, heart, now, changed, rng)
+    return Link(host, address, heart, now, changed, rng)
+
+
 class Link:
-    """To one machine. `changed` is called after each thing that was told to the heart."""
+    """Over HTTP, to one machine. `changed` is called after each thing that was told to the heart."""
 
     def __init__(
         self,
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -69,7 +69,7 @@
         self.config = folder / "agent.ini"
         self.config.write_text(CONFIG)
         self.process: asyncio.subprocess.Process | None = None
-        self.url, self.ready_ms = "", 0.0
+        self.url, self.grpc, self.ready_ms = "", "", 0.0
         self.log = folder / "agent.log"
 
     async def launch(self, **task: Any) -> asyncio.subprocess.Process:
@@ -95,7 +95,7 @@
             line = await self.process.stdout.readline()
         assert line, self.log.read_text()[-3000:]
         told = json.loads(line)
-        self.url, self.ready_ms = told["url"], told["readyMs"]
+        self.url, self.grpc, self.ready_ms = told["url"], told["grpc"], told["readyMs"]
 
     async def kill(self) -> None:
         """SIGKILL, and until it is gone."""
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -4,7 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, Literal
 
 from waiting import until
 
@@ -71,11 +71,25 @@
 
     __test__ = False
 
-    def __init__(self, machines: int, model: FleetModel, overrides: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        machines: int,
+        model: FleetModel,
+        overrides: tuple[str, ...],
+        protocol: Literal["http", "grpc"] = "http",
+    ) -> None:
         self.clock = CommonClock()
         self.overrides = overrides
         self.recorder = Recorder("machines")
-        self.fleet = Fleet(config(*overrides), some_hosts(machines), model, 1, self.clock.now, self.recorder)
+        self.fleet = Fleet(
+            config(*overrides),
+            some_hosts(machines),
+            model,
+            1,
+            self.clock.now,
+            self.recorder,
+            protocol=protocol,
+        )
         self.placers: list[PlacerService] = []
         self.clients: list[Client] = []
 
@@ -124,10 +138,13 @@
 
 @asynccontextmanager
 async def cluster(
-    machines: int = 4, *overrides: str, model: FleetModel = QUICK
+    machines: int = 4,
+    *overrides: str,
+    model: FleetModel = QUICK,
+    protocol: Literal["http", "grpc"] = "http",
 ) -> AsyncIterator[tuple[TestCluster, PlacerService, Client]]:
     """A cluster with one placer and a client of it."""
-    its = TestCluster(machines, model, overrides)
+    its = TestCluster(machines, model, overrides, protocol)
     await its.start()
     try:
         service = await its.placer()
--- /dev/null
+++ b/tests/test_grpc_machines.py
@@ -0,0 +1,253 @@
+"""Machines over gRPC streams: the same placer, stand-ins, agents and promises as over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import grpc
+import pytest
+from agents import agent
+from clusters import TestCluster, cluster, spec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from machines import offer
+from waiting import until
+
+from kelpfront.api.meta import JOBS
+from kelpfront.client import Client
+from kelpfront.inventory import Host, Inventory
+from kelpfront.machine import messages as m
+from kelpfront.machine.convert import (
+    UnknownWordError,
+    answer_message,
+    offer_message,
+    read_answer,
+    read_offer,
+    read_stream_message,
+    stream_message,
+)
+from kelpfront.service.app import PlacerService
+from kelpfront.service.grpclinks import GrpcLink
+from kelpfront.v1 import node_pb2 as pb
+from kelpfront.v1 import node_pb2_grpc
+
+# ---- Messages ----------------------------------------------------------------------------------------------
+
+LOAD = m.LoadReport(1.0, 2.0, 3.0, 4.0, 5, 0.5)
+RUN = m.Command(("sh", "-c", "x"), {"A": "b"}, "/tmp", 500.0)
+
+
+@given(
+    st.sampled_from(["safe", "keyed", "unsafe"]),
+    st.sampled_from(["none", "machine", "cell", "zone", "all"]),
+    st.text(max_size=5),
+    st.floats(0, 1e15),
+    st.booleans(),
+)
+@settings(derandomize=True)
+def test_offers_come_back_as_they_were(
+    effect: Any, group: Any, key: str, not_after: float, runs: bool
+) -> None:
+    sent = offer("t1", 3, effect=effect, group=group, key=key, not_after=not_after, run=RUN if runs else None)
+    wire = pb.OfferTask.FromString(offer_message(sent).SerializeToString())
+    assert read_offer(wire) == sent
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        m.Hello("boot", 5.0, "small", 500.0, True, 1 << 50),
+        m.Snapshot(7, (m.TaskReport(offer("t"), "life", "ended", "sent-away", 3, False, 1.5, "why"),)),
+        m.Snapshot(7, (m.TaskReport(offer("t"), "life", "running"),)),
+        m.Heartbeat("draining", LOAD),
+        m.Taken(9, "t", 1, True),
+        m.Gone(9, "t", 1, "pushed-out", True, None, "text", None),
+        m.Gone(9, "t", 1, "ended", True, 0, "", 0.0),
+        m.Note("t", 1, "service", 0.5),
+    ],
+)
+def test_stream_messages_come_back_as_they_were(message: m.StreamMessage) -> None:
+    wire = pb.NodeMessage.FromString(stream_message(message).SerializeToString())
+    assert read_stream_message(wire) == message
+
+
+@pytest.mark.parametrize("kind", ["running", "accepted", "refused", "error"])
+def test_answers_come_back_as_they_were(kind: Any) -> None:
+    answer = m.Answer(kind, "NO_CORES", "text", LOAD if kind == "refused" else None)
+    assert read_answer(answer_message("t", 1, answer).answer) == answer
+
+
+def test_words_of_a_later_version_are_not_guessed() -> None:
+    later = pb.OfferTask.FromString(offer_message(offer("t")).SerializeToString() + b"\x40\x63")  # effect 99
+    with pytest.raises(UnknownWordError, match="effect"):
+        read_offer(later)
+    unknown = pb.OfferAnswer.FromString(b"\x18\x63")  # an answer of kind 99 proves nothing
+    assert read_answer(unknown).answer == "error"
+    assert read_stream_message(pb.NodeMessage.FromString(b"\xfa\x07\x00")) is None
+    with pytest.raises(UnknownWordError, match="cause"):
+        read_stream_message(pb.NodeMessage(gone=pb.Gone(cause="melted")))
+
+
+# ---- The placer with stand-ins -----------------------------------------------------------------------------
+
+
+@asynccontextmanager
+async def served(
+    machines: int = 2, *overrides: str
+) -> AsyncIterator[tuple[TestCluster, PlacerService, Client]]:
+    async with cluster(machines, *overrides, protocol="grpc") as parts:
+        yield parts
+
+
+async def placed(client: Client, cls: str = "web", **changes: Any) -> Any:
+    job = await client.wait_answers(await client.submit("climate", spec(cls, **changes)), timeout_s=20)
+    assert job.status is not None
+    return job.status.tasks[0]
+
+
+async def test_tasks_are_placed_run_and_end() -> None:
+    async with served() as (its, service, client):
+        assert all(isinstance(link, GrpcLink) for link in service.links.values())
+        tasks = await asyncio.gather(*(placed(client, cls) for cls in ("web", "blend") for _ in range(10)))
+        assert {task.answer for task in tasks} == {"Placed"}
+        assert len(its.events("start")) == 20
+        uid = tasks[0].uid
+        machine = its.fleet.machines[tasks[0].machine]
+        machine._exit(uid)
+        await until(lambda: uid not in service.heart._tasks)
+
+
+async def test_a_late_answer_is_given_up_and_the_copy_dealt_with_by_its_effect() -> None:
+    async with served(1, "placer.seed=1") as (its, service, client):
+        (machine,) = its.fleet.machines.values()
+        machine.troubles.late_ms = 1500.0
+        task = await placed(client, "blend", patience="900ms")
+        assert task.answer in ("Failed", "Placed")
+        machine.troubles.late_ms = 0.0
+        await until(lambda: len(machine.node.tasks) <= 1)
+        assert len(its.events("start")) == 1
+        safe = await placed(client, "web")
+        assert safe.answer == "Placed"
+        assert service.heart.open_tasks == 0
+
+
+async def test_given_up_offers_that_have_not_begun_are_dropped_at_the_machine() -> None:
+    async with served(1) as (its, _service, client):
+        (machine,) = its.fleet.machines.values()
+        machine.model = type(machine.model)(weigh_ms=700.0, classes=machine.model.classes)
+        jobs = [await client.submit("climate", spec("web", patience="500ms")) for _ in range(5)]
+        await asyncio.gather(*(client.wait_answers(job, timeout_s=20) for job in jobs))
+        await until(lambda: not machine.node.tasks)
+        assert its.events("left") and len(its.events("start")) <= 1
+
+
+async def test_a_machine_that_dies_takes_its_tasks_and_comes_back() -> None:
+    async with served(2, "cluster.lost_after=1 s") as (its, service, client):
+        task = await placed(client, "web")
+        machine = its.fleet.machines[task.machine]
+        machine.crash()
+        await until(lambda: task.uid not in service.heart._tasks)
+        await machine.boot(cold=False)
+        await until(lambda: service.heart.directory.entries[machine.name].state.value == "Ready")
+        assert (await placed(client, "web")).answer == "Placed"
+
+
+async def test_a_stream_that_breaks_is_taken_up_where_it_was() -> None:
+    async with served(1) as (its, service, client):
+        task = await placed(client, "web")
+        (link,) = service.links.values()
+        assert isinstance(link, GrpcLink)
+        boot = link._boot
+        link._call.cancel()
+        await until(lambda: not link._up.is_set())
+        its.fleet.machines["n0"]._exit(task.uid)
+        await until(lambda: task.uid not in service.heart._tasks)
+        assert link._boot == boot
+        job = service.store.find(JOBS, next(iter(service.heart._jobs)))
+        assert job is not None and job.body["status"]["tasks"][0]["state"] == "Ended"
+
+
+async def test_offers_that_are_out_when_the_stream_breaks_may_have_run() -> None:
+    async with served(1) as (its, service, client):
+        (machine,) = its.fleet.machines.values()
+        machine.troubles.late_ms = 5_000.0
+        job = await client.submit("climate", spec("blend"))
+        await until(lambda: its.events("offer"))
+        (link,) = service.links.values()
+        assert isinstance(link, GrpcLink)
+        link._call.cancel()
+        done = await client.wait_answers(job, timeout_s=20)
+        assert done.status is not None
+        task = done.status.tasks[0]
+        assert len(its.events("start")) <= 1
+        assert task.answer in ("Failed", "Placed") and len(task.attempts) == 1
+
+
+async def test_a_drain_is_kept() -> None:
+    async with served(2) as (its, service, client):
+        its.fleet.machines["n0"].drain(True)
+        await until(lambda: service.heart.directory.entries["n0"].state.value == "Draining")
+        tasks = await asyncio.gather(*(placed(client) for _ in range(10)))
+        assert {task.machine for task in tasks} == {"n1"}
+
+
+async def test_a_silent_machine_holds_nobody_up() -> None:
+    async with served(2) as (its, service, client):
+        its.fleet.machines["n0"].silence(True)
+        tasks = await asyncio.gather(*(placed(client, patience="4s") for _ in range(10)))
+        assert {task.machine for task in tasks if task.answer == "Placed"} == {"n1"}
+        assert all(task.answer in ("Placed", "Refused") for task in tasks)
+        its.fleet.machines["n0"].silence(False)
+        await until(lambda: service.heart.directory.entries["n0"].state.value == "Ready")
+
+
+async def test_what_is_no_stream_of_a_placer_is_told_so() -> None:
+    async with served(1) as (its, _service, _client):
+        target = next(iter(its.inventory.hosts.values())).address.removeprefix("grpc://")
+        async with grpc.aio.insecure_channel(target) as channel:
+            stub: Any = node_pb2_grpc.NodeStub(channel)
+            for first in (pb.PlacerMessage(), pb.PlacerMessage(open=pb.Open())):
+                call = stub.Link()
+                await call.write(first)
+                with pytest.raises(grpc.aio.AioRpcError) as caught:
+                    await call.read()
+                assert caught.value.code() is grpc.StatusCode.INVALID_ARGUMENT
+            call = stub.Link()
+            await call.write(pb.PlacerMessage(open=pb.Open(placer="raw")))
+            strange = offer_message(offer("t-strange"))
+            strange.ClearField("effect")
+            await call.write(pb.PlacerMessage(offer=strange))
+            while not (answer := await call.read()).HasField("answer"):
+                pass
+            assert answer.answer.answer == pb.ANSWER_KIND_REFUSED and "effect" in answer.answer.message
+            call.cancel()
+
+
+# ---- Agents ------------------------------------------------------------------------------------------------
+
+
+async def test_an_agent_by_grpc_runs_tasks_and_gives_their_output(tmp_path: Path) -> None:
+    more = ("agent.grpc=127.0.0.1:0", "host.cores=24", "host.memory=48", "agent.name=n0")
+    async with agent(tmp_path, overrides=more) as its:
+        target = its.grpc
+        async with cluster(1) as (base, _, _client):
+            base.inventory = Inventory(
+                "test", {"n0": Host("n0", "small", "r1", "east", 24.0, 48.0, f"grpc://{target}")}
+            )
+            service = await base.placer("placer.name=by-grpc")
+            client = base.client(service)
+            made = spec("blend", command=["sh", "-c", "echo hello; sleep 0.2; exit 4"])
+            job = await client.wait_answers(await client.submit("climate", made), timeout_s=20)
+            name = job.metadata.name or ""
+
+            def ended() -> bool:
+                stored = service.store.find(JOBS, ("climate", name))
+                task = stored.body["status"]["tasks"][0] if stored else {}
+                return task.get("state") == "Ended" and task.get("exitCode") == 4
+
+            await until(ended)
+            assert await client.logs("climate", name) == b"hello\n"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,7 +21,7 @@
     "api": set(),
     "store": {"kelpfront.api"},
     "inventory": set(),
-    "machine": {"kelpfront.http"},
+    "machine": {"kelpfront.http", "kelpfront.v1"},
     "placer": {
         "kelpfront.api",
         "kelpfront.store",
@@ -52,11 +52,12 @@
         "kelpfront.config",
         "kelpfront.http",
         "kelpfront.fronts",
+        "kelpfront.v1",
     },
 }
 PURE = ("api", "rpc", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
 """Parts that do no I/O and read no clock."""
-PURE_MACHINE = ("admission", "copies", "messages", "model", "node", "outbox", "telling", "warmup")
+PURE_MACHINE = ("admission", "convert", "copies", "messages", "model", "node", "outbox", "telling", "warmup")
 PURE_AGENT = ("orphans", "recovery", "usage")
 IMPURE = {"asyncio", "socket", "time", "threading", "subprocess", "select", "uuid", "secrets"}
 
