--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -142,6 +142,29 @@
         raise SystemExit(1)
 
 
+@lab.command("protocols")
+@click.option("--machines", default=81, show_default=True)
+@click.option("--seconds", default=3.0, show_default=True, help="Of one round.")
+@click.option("--rounds", default=5, show_default=True, help="Of each way, by turns.")
+@click.option("--at-a-time", default=32, show_default=True, help="Jobs without their answer.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def protocols(machines: int, seconds: float, rounds: int, at_a_time: int, as_json: bool) -> None:
+    """Measure what a job costs by REST, gRPC calls and a Bindings stream, and offers by HTTP and by streams."""
+    from kelpfront.lab.process import raise_file_limit
+    from kelpfront.lab.protocols import Protocols
+
+    raise_file_limit()
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    with tempfile.TemporaryDirectory(prefix="kelpfront-protocols-") as folder:
+        measuring = Protocols(machines, seconds, rounds, at_a_time, Path(folder), say)
+        figures = asyncio.run(measuring.run())
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+
+
 @click.command("bad-day")
 @click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
 @click.option("--placers", default=4, show_default=True)
@@ -149,6 +172,13 @@
 @click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
 @click.option("--seconds", default=40.0, show_default=True, help="How long work comes in.")
 @click.option("--agents", default=0, show_default=True, help="Machines that are node agents, not stand-ins.")
+@click.option(
+    "--protocol",
+    type=click.Choice(["http", "grpc"]),
+    default="http",
+    show_default=True,
+    help="What stand-ins speak to placers.",
+)
 @click.option("--quiet-day", is_flag=True, help="Nothing goes wrong: for measuring.")
 @click.option("--model", "model_text", default="{}", help="How the stand-ins behave, as JSON.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
@@ -162,6 +192,7 @@
     rate: float,
     seconds: float,
     agents: int,
+    protocol: str,
     quiet_day: bool,
     model_text: str,
     as_json: bool,
@@ -193,7 +224,9 @@
         model = msgspec.json.decode(model_text, type=FleetModel)
     except msgspec.DecodeError as error:
         fail(f"--model: {error}")
-    verdict, figures = asyncio.run(play(shape, keep, model, quiet=quiet_day, say=say, agents=agents))
+    verdict, figures = asyncio.run(
+        play(shape, keep, model, quiet=quiet_day, say=say, agents=agents, protocol=protocol)
+    )
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     for violation in verdict.violations[:20]:
         click.echo(f"{violation.rule}: {violation.text}", err=True)
--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -106,7 +106,9 @@
         quiet: bool = False,
         say: Callable[[str], None] = lambda text: None,
         agents: int = 0,
+        protocol: str = "http",
     ) -> None:
+        self._protocol = protocol
         self.shape, self.work, self._say = shape, work, say
         self.model = model or FleetModel()
         self.config: Config = parse_config(SETTINGS, "the bad day's settings")
@@ -185,6 +187,8 @@
                 str(self.work / f"machines-{room}.jsonl"),
                 "--seed",
                 str(self.shape.seed),
+                "--protocol",
+                self._protocol,
                 *(("--copies", str(self.work / "copies")) if self._agents else ()),
                 log_to=self.work / f"machines-{room}.log",
             )
@@ -348,6 +352,7 @@
     quiet: bool = False,
     say: Callable[[str], None] = lambda text: None,
     agents: int = 0,
+    protocol: str = "http",
 ) -> tuple[Verdict, dict[str, Any]]:
     """Plays a bad day in a folder that is removed after it, or in `keep`."""
     raise_file_limit()
@@ -357,6 +362,6 @@
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
         keep = keep.resolve()
-        return await Day(shape, keep, model, quiet, say, agents).run()
+        return await Day(shape, keep, model, quiet, say, agents, protocol).run()
     with tempfile.TemporaryDirectory(prefix="kelpfront-day-") as folder:
-        return await Day(shape, Path(folder), model, quiet, say, agents).run()
+        return await Day(shape, Path(folder), model, quiet, say, agents, protocol).run()
