--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -149,7 +149,7 @@
 @click.option("--at-a-time", default=32, show_default=True, help="Jobs without their answer.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def protocols(machines: int, seconds: float, rounds: int, at_a_time: int, as_json: bool) -> None:
-    """Measure what a job costs by REST, gRPC calls and a Bindings stream, and offers by HTTP and by streams."""
+    """Measure what a job costs by REST, gRPC and a Bindings stream, and offers by HTTP and by streams."""
     from kelpfront.lab.process import raise_file_limit
     from kelpfront.lab.protocols import Protocols
 
--- a/kelpfront/fronts/grpc/services.py
+++ b/kelpfront/fronts/grpc/services.py
@@ -73,7 +73,6 @@
             self._changed()
 
     def _watch(self, resource: Resource, request: pb.WatchRequest, wake: Callable[[], None]) -> Watch:
-        self._operations.check_known(resource)
         selector = _selector(resource, request)
         namespace = request.namespace or None
         since = _revision(request.resume_token) if request.resume_token else None
@@ -128,7 +127,6 @@
                 watch.close()
 
     def _page(self, resource: Resource, request: pb.ListRequest) -> tuple[list[Object], str, str]:
-        self._operations.check_known(resource)
         namespace = (request.namespace or None) if resource.namespaced else None
         if request.limit < 0:
             raise ApiError(400, f"limit: {request.limit} is below 0")
--- a/kelpfront/fronts/rest/front.py
+++ b/kelpfront/fronts/rest/front.py
@@ -206,7 +206,6 @@
 
     def _list(self, request: Request, target: _Target) -> Response:
         store, resource = self._operations.store, target.resource
-        self._operations.check_known(resource)
         namespace = target.namespace if resource.namespaced else None
         limit = _whole(request, "limit")
         token = request.query.get("continue", "")
@@ -237,7 +236,6 @@
 
     def _watch(self, request: Request, target: _Target) -> Response:
         resource = target.resource
-        self._operations.check_known(resource)
         since = _whole(request, "resourceVersion") or None
         initial = _flag(request, "sendInitialEvents")
         bookmarks = _flag(request, "allowWatchBookmarks")
--- a/kelpfront/machine/grpcserver.py
+++ b/kelpfront/machine/grpcserver.py
@@ -68,6 +68,8 @@
     async def Link(  # noqa: N802
         self, requests: AsyncIterator[pb.PlacerMessage], context: Context[Any, Any]
     ) -> None:
+        if self._server.closed.is_set():
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "it ends")
         first = await anext(aiter(requests), None)
         if first is None or first.WhichOneof("message") != "open" or not first.open.placer:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "open: is to be the first, with a placer")
@@ -131,6 +133,8 @@
     async def _read(self, requests: AsyncIterator[pb.PlacerMessage]) -> None:
         server = self._server
         async for request in requests:
+            if server.closed.is_set():
+                raise Abort  # it is dead, and takes nothing any more
             match request.WhichOneof("message"):
                 case "offer":
                     self._spawn(self._offer(request.offer))
--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -64,19 +64,14 @@
         return self._heart.store
 
     def get(self, resource: Resource, key: tuple[str, str]) -> Stored:
-        """The object; ApiError 404 where there is none, 503 where that is not known yet."""
-        stored = self.store.find(resource, key)
-        if stored is None:
-            self.check_known(resource)
-        return self.store.get(resource, key)
-
-    def check_known(self, resource: Resource) -> None:
-        """503 for jobs while the placer starts: those that run are still to be told by their machines.
+        """The object; ApiError 404 where there is none, 503 where that is not known yet.
 
-        A client that was told that its job is not there would ask for it anew, or take it for deleted.
+        While the placer starts, jobs that run are still to be told by their machines. A client that was told
+        that its job is not there would ask for it anew, or take it for deleted.
         """
-        if resource is JOBS and self.starting:
+        if self.starting and resource is JOBS and self.store.find(resource, key) is None:
             raise ApiError(503, self.closed, retry_after_s=1)
+        return self.store.get(resource, key)
 
     # ---- Jobs -----------------------------------------------------------------------------------------
 
