--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -279,8 +279,10 @@
                 await client.list_machines()
                 client.discipline.addresses._next = 0
                 between.swallow_answers = True
-                with pytest.raises(UnknownOutcomeError) as caught:
+                began = asyncio.get_running_loop().time()
+                with pytest.raises(UnknownOutcomeError) as caught:  # its deadline ends during the attempt
                     await client.submit("climate", spec("blend"), deadline_s=1.5)
+                assert 1.0 < asyncio.get_running_loop().time() - began < 3.0
                 assert str(between.port) in caught.value.address
         assert service.store.count(JOBS) == 1 and other.store.count(JOBS) == 0
 
