--- a/tests/test_lab_fronts.py
+++ b/tests/test_lab_fronts.py
@@ -71,7 +71,7 @@
     right: Any = vars(services)["job_data"]
 
     def wrong(*args: Any) -> Object:
-        data = right(*args)
+        data: Object = right(*args)
         data["spec"].pop("count", None)
         return data
 
