Bindings: rejections are bounded, a withdrawal is not lost with its stream

Found reading the change once more: a client that sent wrong submissions and took no events grew the server's memory without end, and two rejections of one ref could overwrite each other; a withdrawal during a cut was lost, and the job ran on unseen. A thousand rejections wait at the most, then the stream ends; the library removes a job by a call of its own, and holds no more jobs open than the placer would. Each has a test.

--- a/kelpfront/client/bindings.py
+++ b/kelpfront/client/bindings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Any, Self
@@ -16,8 +16,10 @@
 
 from kelpfront.api.errors import ApiError
 from kelpfront.api.jobs import JobSpec
+from kelpfront.api.meta import name_of_token
 from kelpfront.client.interface import ServerUnreachableError
 from kelpfront.client.retry import Discipline
+from kelpfront.rpc.bounds import STREAM_JOBS_MOST
 from kelpfront.rpc.convert import spec_message
 from kelpfront.v1 import api_pb2 as pb
 from kelpfront.v1 import resources_pb2
@@ -36,8 +38,17 @@
 class BindingsClient:
     """One stream to one placer. Read it with `async for`; it ends when `done` was said and all is told."""
 
-    def __init__(self, transport: Any, discipline: Discipline, namespace: str, answers_only: bool) -> None:
+    def __init__(
+        self,
+        transport: Any,
+        discipline: Discipline,
+        namespace: str,
+        answers_only: bool,
+        delete_job: Callable[[str, str], Awaitable[None]],
+    ) -> None:
+        """`delete_job` removes a job by namespace and name, over cuts."""
         self._transport, self._discipline = transport, discipline
+        self._namespace, self._delete_job = namespace, delete_job
         detail = pb.DETAIL_ANSWERS if answers_only else pb.DETAIL_ALL
         self._open = pb.BindingsRequest(open=pb.BindingsRequest.Open(namespace=namespace, detail=detail))
         self._jobs: dict[str, _Job] = {}
@@ -58,11 +69,16 @@
     def submit(
         self, ref: str, spec: JobSpec, *, name: str = "", labels: dict[str, str] | None = None
     ) -> None:
-        """Hands a job over; `spec` needs a client token. What becomes of it comes with its ref."""
+        """Hands a job over; `spec` needs a client token. What becomes of it comes with its ref.
+
+        OverflowError where a thousand jobs of the stream are not at their end: read on first.
+        """
         if spec.client_token is None:
             raise ValueError("a job on a stream needs a client token: the stream may break at any time")
         if ref in self._jobs:
             raise ValueError(f"{ref!r} is on this stream already")
+        if len(self._jobs) >= STREAM_JOBS_MOST:
+            raise OverflowError(f"{STREAM_JOBS_MOST} jobs are not at their end, which is the most")
         metadata = resources_pb2.ObjectMeta(name=name, labels=labels or {})
         message = spec_message(spec.model_dump(by_alias=True, exclude_none=True))
         submit = pb.BindingsRequest.Submit(ref=ref, metadata=metadata, spec=message)
@@ -70,11 +86,22 @@
         self._jobs[ref] = _Job(request)
         self._outgoing.put_nowait(request)
 
-    def withdraw(self, ref: str) -> None:
-        """No longer wanted; nothing more is told of it."""
-        if self._jobs.pop(ref, None) is not None:
-            withdraw = pb.BindingsRequest.Withdraw(ref=ref)
-            self._outgoing.put_nowait(pb.BindingsRequest(withdraw=withdraw))
+    async def withdraw(self, ref: str) -> None:
+        """No longer wanted; nothing more is told of it.
+
+        Removed by a call of its own and not by a message of the stream: that might be lost with the stream,
+        and the job would run on unseen.
+        """
+        job = self._jobs.pop(ref, None)
+        if job is None:
+            return
+        submit = job.request.submit
+        name = submit.metadata.name or name_of_token(submit.spec.client_token)
+        try:
+            await self._delete_job(self._namespace, name)
+        except ApiError as error:
+            if error.code != 404:
+                raise
 
     def done(self) -> None:
         """No more jobs will come."""
--- a/kelpfront/client/grpc.py
+++ b/kelpfront/client/grpc.py
@@ -213,8 +213,13 @@
 
     def bindings(self, namespace: str, *, answers_only: bool = False) -> BindingsClient:
         """A stream of jobs and of what becomes of them, to one placer."""
-        transport = self._transports[self.discipline.addresses.choose(self._now())]
-        return BindingsClient(transport, self.discipline, namespace, answers_only)
+        address = self.discipline.addresses.choose(self._now())
+
+        async def delete(namespace: str, name: str) -> None:
+            self._remember(namespace, name, address)
+            await self.delete_job(namespace, name)
+
+        return BindingsClient(self._transports[address], self.discipline, namespace, answers_only, delete)
 
     async def __aexit__(self, *error: Any) -> None:
         self.close()
--- a/kelpfront/fronts/grpc/bindings.py
+++ b/kelpfront/fronts/grpc/bindings.py
@@ -137,7 +137,6 @@
             self._sent_at = None
         store = self._operations.store
         key = job["metadata"]["namespace"], job["metadata"]["name"]
-        self._keys[ref] = key
         session.submitted(ref, job, created)
 
         def changed() -> None:
@@ -150,6 +149,8 @@
         except ApiError as error:  # it was taken: the client finds it by its token
             session.withdrawn(ref)
             session.rejected(ref, error)
+        else:
+            self._keys[ref] = key
 
     def _changed(self, ref: str) -> None:
         """The job has changed. The watch only wakes: what is told is how the job is when it can be."""
@@ -193,7 +194,7 @@
                 for ref in self._watches.keys() - session.refs:
                     self._forget(ref)
                 continue
-            if reading.done() and (reading.exception() is not None or not session.refs):
+            if reading.done() and (reading.exception() is not None or session.told_all):
                 return
             if self._over:
                 raise ApiError(503, "the placer stops", retry_after_s=1)
--- a/kelpfront/fronts/grpc/session.py
+++ b/kelpfront/fronts/grpc/session.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from kelpfront.api.errors import ApiError, Cause
 from kelpfront.api.meta import Object
-from kelpfront.rpc.convert import STATES, _duration
+from kelpfront.rpc.bounds import STREAM_JOBS_MOST
+from kelpfront.rpc.convert import STATES, duration_message
 from kelpfront.rpc.status import code_of
 from kelpfront.v1 import api_pb2 as pb
 
-JOBS_MOST = 1_000  # of one stream, that are not told to their end
+REJECTIONS_MOST = 1_000  # that a client has not taken; one that goes on without taking any is cut off
 CREDITS_MOST = 100_000  # that may be granted and not used; more is a client that cannot count
 REF_MOST = 128
 
@@ -36,7 +38,7 @@
 class _Entry:
     ref: str
     job: Object | None = None  # as it was last seen
-    first: Event | None = None  # Accepted or Rejected, told before all else
+    first: Event | None = None  # Accepted, told before all else
     tasks: dict[int, _Told] = field(default_factory=dict)
     deleted: bool = False
 
@@ -47,6 +49,7 @@
     def __init__(self, answers_only: bool) -> None:
         self._answers_only = answers_only
         self._entries: dict[str, _Entry] = {}
+        self._rejections: deque[Event] = deque()
         self._due: dict[str, None] = {}  # refs of which something may be to tell, the oldest first
         self.credits = 0
 
@@ -55,6 +58,10 @@
         """Jobs that are not told to their end."""
         return frozenset(self._entries)
 
+    @property
+    def told_all(self) -> bool:
+        return not (self._entries or self._rejections)
+
     def grant(self, credits: int) -> None:
         if not 1 <= credits <= CREDITS_MOST:
             raise ApiError(400, f"credits: {credits} is not from 1 to {CREDITS_MOST}")
@@ -66,10 +73,10 @@
             raise ApiError(400, f"ref: {len(ref)} characters; 1 to {REF_MOST} are allowed")
         if ref in self._entries:
             raise ApiError(409, f"ref: {ref!r} is on this stream already", reason="AlreadyExists")
-        if len(self._entries) >= JOBS_MOST:
+        if len(self._entries) >= STREAM_JOBS_MOST:
             raise ApiError(
                 429,
-                f"{JOBS_MOST} jobs of this stream are not at their end, which is the most",
+                f"{STREAM_JOBS_MOST} jobs of this stream are not at their end, which is the most",
                 retry_after_s=1,
             )
 
@@ -85,15 +92,12 @@
         self._due[ref] = None
 
     def rejected(self, ref: str, error: ApiError) -> None:
-        """A job was not taken. A ref that is known or unfit is told of all the same."""
-        known = self._entries.get(ref)
-        entry = _Entry(ref, first=Event(ref=ref, rejected=_rejected(error)), deleted=True)
-        if known is not None:  # of another submission by the same ref: that one goes on
-            self._entries[f"{ref}\0{len(self._due)}"] = entry
-            self._due[f"{ref}\0{len(self._due)}"] = None
-            return
-        self._entries[ref] = entry
-        self._due[ref] = None
+        """A submission was not taken; another by the same ref goes on. ApiError 429 where too many wait."""
+        if len(self._rejections) >= REJECTIONS_MOST:
+            raise ApiError(
+                429, f"{REJECTIONS_MOST} rejections wait to be read, which is the most", retry_after_s=1
+            )
+        self._rejections.append(Event(ref=ref[:REF_MOST], rejected=_rejected(error)))
 
     def changed(self, ref: str, job: Object) -> None:
         entry = self._entries.get(ref)
@@ -115,6 +119,9 @@
     def take(self, most: int) -> list[Event]:
         """Events that the client has credits for, at most so many."""
         events: list[Event] = []
+        while self._rejections and len(events) < most and self.credits:
+            events.append(self._rejections.popleft())
+            self.credits -= 1
         while self._due and len(events) < most and self.credits:
             ref = next(iter(self._due))
             entry = self._entries[ref]
@@ -207,7 +214,7 @@
         case "Placed":
             return Event(ref=ref, bound=Event.Bound(index=index, machine=task.get("machine", "")))
         case "Refused":
-            after = _duration(task.get("retryAfter"))
+            after = duration_message(task.get("retryAfter"))
             return Event(ref=ref, refused=Event.Refused(index=index, reason=reason, retry_after=after))
     return Event(ref=ref, failed=Event.Failed(index=index, reason=reason))
 
@@ -220,6 +227,6 @@
         code=code_of(error).value[0],
         reason=error.reason,
         message=error.message,
-        retry_after=_duration(f"{error.retry_after_s}s" if error.retry_after_s else None),
+        retry_after=duration_message(f"{error.retry_after_s}s" if error.retry_after_s else None),
         violations=[violation(cause) for cause in error.causes],
     )
--- a/kelpfront/rpc/convert.py
+++ b/kelpfront/rpc/convert.py
@@ -59,7 +59,7 @@
     return stamp
 
 
-def _duration(text: str | None) -> Duration | None:
+def duration_message(text: str | None) -> Duration | None:
     if not text:
         return None
     duration = Duration()
@@ -108,13 +108,13 @@
         cores=spec["cores"],
         memory=spec["memory"],
         count=spec.get("count"),
-        patience=_duration(spec.get("patience")),
+        patience=duration_message(spec.get("patience")),
         key=spec.get("key"),
         client_token=spec.get("clientToken"),
         command=spec.get("command") or (),
         env=spec.get("env") or {},
         workdir=spec.get("workdir"),
-        stop_grace=_duration(spec.get("stopGrace")),
+        stop_grace=duration_message(spec.get("stopGrace")),
     )
 
 
@@ -139,7 +139,7 @@
         found=task.get("found", False),
         machine=task.get("machine", ""),
         reason=task.get("reason", ""),
-        retry_after=_duration(task.get("retryAfter")),
+        retry_after=duration_message(task.get("retryAfter")),
         exit_code=task.get("exitCode"),
         cpu_seconds=task.get("cpuSeconds"),
         attempts=[attempt_message(attempt) for attempt in task["attempts"]],
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -37,6 +37,7 @@
     even_share_worst,
 )
 from kelpfront.client.sync import SyncClient
+from kelpfront.rpc.bounds import STREAM_JOBS_MOST
 from kelpfront.service.app import PlacerService
 
 BOTH = pytest.mark.parametrize("protocol", ["rest", "grpc"])
@@ -346,6 +347,60 @@
             assert second.heart.store.count(JOBS) == 0
 
 
+async def test_a_stream_of_the_library_resumes_and_what_is_withdrawn_in_a_cut_is_gone() -> None:
+    async with cluster(2, *SERVED) as (its, service, _):
+        port = int(service.grpc_target.rpartition(":")[2])
+        async with (
+            proxy(port) as between,
+            client_at("grpc", f"127.0.0.1:{between.port}", spread_s=0.1) as client,
+        ):
+            assert isinstance(client, GrpcClient)
+            async with client.bindings("climate") as stream:
+                for ref in ("stays", "goes"):
+                    stream.submit(ref, spec("blend", client_token=ref))
+                with pytest.raises(ValueError, match="already"):
+                    stream.submit("stays", spec("blend", client_token="other"))
+                told: list[tuple[str, str | None]] = []
+
+                async def read() -> None:
+                    async for event in stream:
+                        told.append((event.ref, event.WhichOneof("event")))
+
+                reading = asyncio.create_task(read())
+                await until(lambda: sum(kind == "bound" for _, kind in told) == 2)
+                between.cut()
+                await stream.withdraw("goes")
+                await until(lambda: service.store.count(JOBS) == 1)
+                await until(lambda: stream.cuts >= 1)
+                machines = list(its.fleet.machines.values())
+
+                def held() -> list[str]:
+                    return [task for machine in machines for task in machine.node.tasks]
+
+                await until(lambda: len(held()) == 1)
+                (uid,) = held()
+                machine = next(machine for machine in machines if uid in machine.node.tasks)
+                stream.done()
+                machine._exit(uid)
+                await asyncio.wait_for(reading, 20)
+                assert told.count(("stays", "bound")) == 1 and told[-1] == ("stays", "over")
+        assert len(its.events("start")) == 2
+
+
+def test_a_stream_takes_no_more_jobs_than_its_placer_would() -> None:
+    async def run() -> None:
+        async with GrpcClient("127.0.0.1:1") as client:
+            stream = client.bindings("climate")
+            for number in range(STREAM_JOBS_MOST):
+                stream.submit(f"r{number}", spec(client_token=f"t{number}"))
+            with pytest.raises(OverflowError, match="which is the most"):
+                stream.submit("more", spec(client_token="more"))
+            with pytest.raises(ValueError, match="needs a client token"):
+                stream.submit("none", spec())
+
+    asyncio.run(run())
+
+
 @BOTH
 async def test_without_asyncio(protocol: str) -> None:
     async with cluster(2, *SERVED) as (_, service, _client):
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -21,7 +21,8 @@
 from kelpfront.api.errors import REASON_OF_CODE, ApiError, Cause
 from kelpfront.api.jobs import JOB_INPUT
 from kelpfront.api.meta import JOBS, MACHINES
-from kelpfront.fronts.grpc.session import CREDITS_MOST, JOBS_MOST, BindingSession
+from kelpfront.fronts.grpc.session import CREDITS_MOST, REJECTIONS_MOST, BindingSession
+from kelpfront.rpc.bounds import STREAM_JOBS_MOST
 from kelpfront.rpc.convert import job_data, job_object, machine_message, machine_object, spec_message
 from kelpfront.rpc.status import CODE_OF_REASON, code_of, error_of, trailers
 from kelpfront.service.app import PlacerService
@@ -531,7 +532,7 @@
 
 def test_a_session_is_bounded() -> None:
     session = BindingSession(False)
-    for number in range(JOBS_MOST):
+    for number in range(STREAM_JOBS_MOST):
         session.check_ref(f"r{number}")
         session.submitted(f"r{number}", session_job("Pending", attempts=0), True)
     with pytest.raises(ApiError, match="which is the most"):
@@ -546,11 +547,37 @@
     assert session.credits == CREDITS_MOST
 
 
+def test_rejections_that_nobody_reads_are_bounded() -> None:
+    session = BindingSession(False)
+    for number in range(REJECTIONS_MOST):
+        session.rejected(f"r{number}", ApiError(422, "x"))
+    with pytest.raises(ApiError, match="rejections wait"):
+        session.rejected("more", ApiError(422, "x"))
+    session.grant(1)
+    assert kinds(session) == ["rejected"] and not session.told_all
+
+
+async def test_a_client_that_sends_nonsense_and_reads_nothing_is_cut_off() -> None:
+    async with served(1) as (_, service, stubs):
+        call = stubs.jobs.Bindings()
+        await call.write(Open)
+        for number in range(REJECTIONS_MOST + 1):
+            await call.write(submit(f"r{number}", "nope"))
+        with pytest.raises(grpc.aio.AioRpcError) as caught:
+            await call.read()
+        assert caught.value.code() is grpc.StatusCode.RESOURCE_EXHAUSTED
+        assert service.grpc is not None
+        streams = service.grpc.streams
+        await until(lambda: not len(streams))
+
+
 def test_a_second_submission_by_a_ref_that_is_in_use_is_rejected_and_the_first_goes_on() -> None:
     session = BindingSession(False)
     session.grant(100)
     session.submitted("r", session_job("Pending", attempts=0), True)
-    session.rejected("r", ApiError(409, "x", reason="AlreadyExists"))
-    assert sorted(str(kind) for kind in kinds(session)) == ["accepted", "rejected"]
+    for _ in range(3):
+        session.rejected("r", ApiError(409, "x", reason="AlreadyExists"))
+    told = sorted(str(kind) for kind in kinds(session))
+    assert told == ["accepted", "rejected", "rejected", "rejected"]
     session.changed("r", session_job("Running", "Placed"))
     assert kinds(session) == ["offered", "bound"]
