A submission that was cut stays with its placer for good; what errors mean is decided in retry

A look that finds nothing proves little: the try that was cut may still wait in the placer's line, and a refusal after the look sent the job to another placer, where unsafe work could start a second time. It stays where it was, and ends as unknown unless an answer settles it. Which errors allow a further try or a further stream moves from the I/O code to retry.py.

--- a/kelpfront/client/bindings.py
+++ b/kelpfront/client/bindings.py
@@ -126,18 +126,26 @@
                         return
                 if self._done and not self._jobs:
                     return
+                pause = self._discipline.reconnect_ms(failures)
             except ServerUnreachableError:
-                pass
-            except grpc.aio.AioRpcError as error:
-                told = self._transport._error(error)
-                if isinstance(told, ApiError) and told.code not in (429, 503, 504):
-                    raise told from None
+                pause = self._discipline.reconnect_ms(failures)
+            except grpc.aio.AioRpcError as broken:
+                pause = self._pause(failures, self._transport.error(broken))
             if self._done and not self._jobs:
                 return
             self.cuts += 1
-            await asyncio.sleep(self._discipline.reconnect_ms(failures) / 1000.0)
+            await asyncio.sleep(pause / 1000.0)
             failures += 1
 
+    def _pause(self, failures: int, error: Exception) -> float:
+        """How long to stay away after the stream ended with an error; raises it where that is no use."""
+        if not isinstance(error, ApiError):
+            return self._discipline.reconnect_ms(failures)
+        pause = self._discipline.stream_pause_ms(failures, error.code, error.retry_after_s)
+        if pause is None:
+            raise error
+        return pause
+
     async def _read_one_stream(self) -> AsyncIterator[pb.BindingsResponse]:
         await self._transport.connect(5.0)
         call = self._call = self._transport.bindings()
--- a/kelpfront/client/disciplined.py
+++ b/kelpfront/client/disciplined.py
@@ -21,13 +21,12 @@
 from kelpfront.api.meta import JOBS, MACHINES, Object, Resource, name_of_token
 from kelpfront.client.informer import Event, Informer
 from kelpfront.client.interface import ServerUnreachableError, UnknownOutcomeError
-from kelpfront.client.retry import Budget, Call, Discipline, GiveUp, Kind, Outcome, Try
+from kelpfront.client.retry import Budget, Call, Discipline, GiveUp, Try, told, untold
 
 T = TypeVar("T")
 
 DEADLINE_S = 30.0  # of calls whose caller names none and whose job has no patience
 OWNERS_MOST = 100_000  # jobs of which it is remembered which placer has them
-REFUSALS = frozenset({429, 503, 504})  # what asking later may mend; nothing was done
 
 
 class Transport(Protocol):
@@ -140,17 +139,12 @@
                 async with asyncio.timeout(left_s):
                     result = await self._one_try(step, call, transport, left_s, marks, make, look)
             except ApiError as error:
-                last = error
-                refused = error.code in REFUSALS
-                outcome = Outcome(
-                    Kind.REFUSED if refused else Kind.FINAL, error.retry_after_s * 1000.0 if refused else 0.0
-                )
+                last, outcome = error, told(error.code, error.retry_after_s)
             except ServerUnreachableError as error:
-                last = error
-                outcome = Outcome(Kind.CUT if error.may_have_arrived else Kind.NOT_SENT)
+                last, outcome = error, untold(error.may_have_arrived)
             except TimeoutError:
                 last = ServerUnreachableError(f"{transport.address}: no answer in time", True)
-                outcome = Outcome(Kind.CUT)
+                outcome = untold(True)
             else:
                 discipline.worked(call)
                 return result
@@ -170,7 +164,6 @@
             found = await look(transport, left_s, marks)
             if found is not None:
                 return found
-            self.discipline.absent(call)
             left_s = max(0.001, (call.deadline - self._now()) / 1000.0)
         return await make(transport, left_s, marks)
 
@@ -368,9 +361,9 @@
                 if error.code == 410:
                     informer.revision = None
                     continue
-                if error.code not in (*REFUSALS, 500):
+                pause = discipline.stream_pause_ms(failures, error.code, error.retry_after_s)
+                if pause is None:
                     raise
-                pause = max(error.retry_after_s * 1000.0, 0.0) + discipline.reconnect_ms(failures)
             except (ServerUnreachableError, TimeoutError):
                 pause = discipline.reconnect_ms(failures)
             failures, cut = failures + 1, True
--- a/kelpfront/client/grpc.py
+++ b/kelpfront/client/grpc.py
@@ -103,9 +103,10 @@
         try:
             return await method(request, timeout=max(0.001, until - loop.time()), metadata=metadata_of(marks))
         except grpc.aio.AioRpcError as error:
-            raise self._error(error) from None
+            raise self.error(error) from None
 
-    def _error(self, error: grpc.aio.AioRpcError) -> Exception:
+    def error(self, error: grpc.aio.AioRpcError) -> Exception:
+        """What a call that ended with an error means: the placer's word, or that there is none."""
         code, text = error.code(), error.details() or ""
         told = error_of(code, text, error.trailing_metadata())
         if told is not None:
@@ -184,7 +185,7 @@
                 elif event.resume_token:  # a bookmark, or a kind of a later version
                     yield "BOOKMARK", {"metadata": {"resourceVersion": event.resume_token}}
         except grpc.aio.AioRpcError as error:
-            raise self._error(error) from None
+            raise self.error(error) from None
         finally:
             call.cancel()
 
--- a/kelpfront/client/retry.py
+++ b/kelpfront/client/retry.py
@@ -26,6 +26,8 @@
 EJECT_MOST_MS = 30_000.0
 EJECT_SHARE = 0.5  # of all addresses that may be avoided at a time
 RESTART_TRIES = 2  # to reconnect, before the placer is taken to be away for longer than a restart
+REFUSALS = frozenset({429, 503, 504})  # the server's word that nothing was done and that later may do
+STREAM_AGAIN = REFUSALS | {500}  # with which a server may end a stream that can be taken up again
 SPREAD_MS = 5_000.0  # the interval over which clients of a placer that went away come back
 
 
@@ -44,6 +46,18 @@
     retry_after_ms: float = 0.0
 
 
+def told(code: int, retry_after_s: float) -> Outcome:
+    """The outcome of a try that the server answered with an error."""
+    if code in REFUSALS:
+        return Outcome(Kind.REFUSED, retry_after_s * 1000.0)
+    return Outcome(Kind.FINAL)
+
+
+def untold(may_have_arrived: bool) -> Outcome:
+    """The outcome of a try that nobody answered."""
+    return Outcome(Kind.CUT if may_have_arrived else Kind.NOT_SENT)
+
+
 @dataclass(frozen=True, slots=True)
 class Try:
     """Make a try at a time, at an address. `look_first`: see whether an earlier one has arrived."""
@@ -65,7 +79,11 @@
 
 @dataclass(slots=True)
 class Call:
-    """One request over its tries. `repeatable`: making it twice, also at another address, does no harm."""
+    """One request over its tries. `repeatable`: making it twice, also at another address, does no harm.
+
+    `unknown`: a try of one that is not repeatable may have arrived, and may be carried out yet, whatever a
+    look has shown. It stays with its address for good, and ends as unknown unless an answer settles it.
+    """
 
     deadline: float
     repeatable: bool
@@ -184,6 +202,7 @@
         else:
             self.addresses.worked(call.address)
         if outcome.kind is Kind.FINAL:
+            call.unknown = False  # it is the request that cannot be taken, whichever try of it is meant
             return self._give_up(call, "the answer is final")
         if outcome.kind is Kind.CUT and not call.repeatable:
             call.unknown = True
@@ -199,14 +218,16 @@
             call.address = self.addresses.choose(now, call.address)
         return Try(at, call.address, call.attempt, outcome.kind.value, call.unknown)
 
-    def absent(self, call: Call) -> None:
-        """The look has shown that no earlier try arrived."""
-        call.unknown = False
-
     def worked(self, call: Call) -> None:
         assert call.address is not None
         self.addresses.worked(call.address)
 
+    def stream_pause_ms(self, failures: int, code: int, retry_after_s: float = 0.0) -> float | None:
+        """How long to stay away after the server ended a stream; None where to come again is no use."""
+        if code not in STREAM_AGAIN:
+            return None
+        return retry_after_s * 1000.0 + self.reconnect_ms(failures)
+
     def reconnect_ms(self, failures: int) -> float:
         """How long to stay away from a placer whose stream broke, `failures` tries to reconnect ago.
 
