--- a/kelpfront/service/grpclinks.py
+++ b/kelpfront/service/grpclinks.py
@@ -24,7 +24,8 @@
     read_load,
     read_stream_message,
 )
-from kelpfront.machine.messages import Gone, Hello, Snapshot, Taken
+from kelpfront.machine.messages import Hello
+from kelpfront.machine.position import StreamPosition
 from kelpfront.placer.heart import Heart
 from kelpfront.placer.intents import AbandonOffer, SendOffer, SendProbe, SendStop
 from kelpfront.v1 import node_pb2 as pb
@@ -65,7 +66,7 @@
         self._target = f"{parts.hostname}:{parts.port}"
         self._connect_s = heart.cluster.settings.connect_timeout_ms / 1000.0
         self._backoff = Backoff(rng)
-        self._boot, self._life, self._next_seq = "", "", 0
+        self._position = StreamPosition()
         self._up = asyncio.Event()
         self._call: Any = None
         self._channel: grpc.aio.Channel | None = None
@@ -229,8 +230,9 @@
             await self._connected(self._channel)
         stub: Any = rpc.NodeStub(self._channel)
         call = self._call = stub.Link()
-        opened = pb.Open(placer=self._heart.name, incarnation=self._heart.incarnation, boot=self._boot)
-        setattr(opened, "from", self._next_seq if self._boot else 0)
+        boot, first = self._position.resume or ("", 0)
+        opened = pb.Open(placer=self._heart.name, incarnation=self._heart.incarnation, boot=boot)
+        setattr(opened, "from", first)
         await call.write(pb.PlacerMessage(open=opened))
         while True:
             try:
@@ -272,22 +274,12 @@
                     heart.probe_answered(now, self.host, True, now - began, load)
                 return
         told = read_stream_message(message)
-        match told:
-            case None:
-                return  # of a later version
-            case Hello():
-                self._backoff.worked()
-                # As over HTTP: until its snapshot is here, this life cannot be resumed.
-                self._boot = told.boot if told.resumed else ""
-                self._life, self._next_seq = told.boot, told.next_seq
-                log.info("stream up", machine=self.host, boot=told.boot, resumed=told.resumed)
-                self._up.set()
-            case Snapshot(seq):
-                self._boot, self._next_seq = self._life, seq + 1
-            case Taken(seq) | Gone(seq):
-                if seq < self._next_seq:
-                    return  # told before the break
-                if seq > self._next_seq:
-                    raise ValueError(f"message {seq} came where {self._next_seq} was expected")
-                self._next_seq = seq + 1
+        if told is None:
+            return  # of a later version
+        if isinstance(told, Hello):
+            self._backoff.worked()
+            log.info("stream up", machine=self.host, boot=told.boot, resumed=told.resumed)
+            self._up.set()
+        if not self._position.take(told):
+            return
         heart.stream_message(now, self.host, told)
--- a/kelpfront/service/links.py
+++ b/kelpfront/service/links.py
@@ -19,17 +19,15 @@
 from kelpfront.http.client import HttpConnection, HttpError, HttpPool
 from kelpfront.machine.messages import (
     Answer,
-    Gone,
     Hello,
     OfferRequest,
-    Snapshot,
-    Taken,
     decode_answer,
     decode_load,
     decode_stop_reply,
     decode_stream_message,
     encode,
 )
+from kelpfront.machine.position import StreamPosition
 from kelpfront.placer.heart import Heart
 from kelpfront.placer.intents import AbandonOffer, SendOffer, SendProbe, SendStop
 
@@ -103,7 +101,7 @@
         self._log_turns = asyncio.Semaphore(LOGS_AT_ONCE)
         self._stop_turns = asyncio.Semaphore(STOPS_AT_ONCE)
         self._backoff = Backoff(rng)
-        self._boot, self._life, self._next_seq = "", "", 0
+        self._position = StreamPosition()
         self._stream = self._spawn(self._follow())
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -225,8 +223,8 @@
 
     async def _read_stream(self) -> None:
         target = f"{self._path}/v1/stream?placer={quote(self._heart.name)}"
-        if self._boot:
-            target += f"&boot={quote(self._boot)}&from={self._next_seq}"
+        if (resume := self._position.resume) is not None:
+            target += f"&boot={quote(resume[0])}&from={resume[1]}"
         async with asyncio.timeout(STREAM_CONNECT_S):
             connection = await HttpConnection.open(self._name, self._port)
         try:
@@ -253,21 +251,9 @@
 
     def _take(self, line: bytes) -> None:
         message = decode_stream_message(line)
-        match message:
-            case Hello():
-                self._backoff.worked()
-                # Unless it resumes, nothing is known of this life until its snapshot is here: a stream that
-                # breaks between the two must not be taken up again behind what the snapshot would have told.
-                self._boot = message.boot if message.resumed else ""
-                self._life = message.boot
-                self._next_seq = message.next_seq
-                log.info("stream up", machine=self.host, boot=message.boot, resumed=message.resumed)
-            case Snapshot(seq):
-                self._boot, self._next_seq = self._life, seq + 1
-            case Taken(seq) | Gone(seq):
-                if seq < self._next_seq:
-                    return  # told before the break
-                if seq > self._next_seq:
-                    raise ValueError(f"message {seq} came where {self._next_seq} was expected")
-                self._next_seq = seq + 1
+        if isinstance(message, Hello):
+            self._backoff.worked()
+            log.info("stream up", machine=self.host, boot=message.boot, resumed=message.resumed)
+        if not self._position.take(message):
+            return
         self._heart.stream_message(self._now(), self.host, message)
--- a/tests/test_agent_decisions.py
+++ b/tests/test_agent_decisions.py
@@ -21,7 +21,8 @@
 from kelpfront.agent.recovery import Claim, Evidence, Fate, judge
 from kelpfront.agent.state import End, Recorded, State, StateError
 from kelpfront.agent.usage import ProcessSample, Smoothing, TreeSample, next_period_ms, trees
-from kelpfront.machine.messages import OfferRequest, Snapshot, TaskReport
+from kelpfront.machine.messages import Gone, Hello, OfferRequest, Snapshot, Taken, TaskReport
+from kelpfront.machine.position import StreamPosition
 
 # ---- Fates ------------------------------------------------------------------------------------------------
 
@@ -230,6 +231,21 @@
     assert isinstance(shown, Snapshot) and [report.offer.task for report in shown.tasks] == ["t2"]
 
 
+def test_a_stream_is_taken_up_only_behind_what_was_read() -> None:
+    position = StreamPosition()
+    assert position.resume is None
+    assert position.take(Hello("b1", 0.0, "small", 500.0, False, 7))
+    assert position.resume is None, "its snapshot is not here yet"
+    assert position.take(Snapshot(6, ()))
+    assert position.resume == ("b1", 7)
+    assert position.take(Taken(7, "t", 0, True)) and not position.take(Taken(7, "t", 0, True))
+    assert position.resume == ("b1", 8)
+    with pytest.raises(ValueError, match="message 10 came where 8"):
+        position.take(Gone(10, "t", 0, "ended", True))
+    assert position.take(Hello("b1", 0.0, "small", 500.0, True, 8)) and position.resume == ("b1", 8)
+    assert position.take(Hello("b2", 0.0, "small", 500.0, False, 1)) and position.resume is None
+
+
 def test_a_later_attempt_takes_a_copy_over_only_once_that_is_noted() -> None:
     driver = NodeDriver()
     driver.offer("t1")
--- a/tests/test_grpc_machines.py
+++ b/tests/test_grpc_machines.py
@@ -161,12 +161,12 @@
         task = await placed(client, "web")
         (link,) = service.links.values()
         assert isinstance(link, GrpcLink)
-        boot = link._boot
+        boot = link._position.resume
         link._call.cancel()
         await until(lambda: not link._up.is_set())
         its.fleet.machines["n0"]._exit(task.uid)
         await until(lambda: task.uid not in service.heart._tasks)
-        assert link._boot == boot
+        assert boot is not None and link._position.resume == (boot[0], boot[1] + 1)
         job = service.store.find(JOBS, next(iter(service.heart._jobs)))
         assert job is not None and job.body["status"]["tasks"][0]["state"] == "Ended"
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,7 +57,18 @@
 }
 PURE = ("api", "rpc", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
 """Parts that do no I/O and read no clock."""
-PURE_MACHINE = ("admission", "convert", "copies", "messages", "model", "node", "outbox", "telling", "warmup")
+PURE_MACHINE = (
+    "admission",
+    "convert",
+    "copies",
+    "messages",
+    "model",
+    "node",
+    "outbox",
+    "position",
+    "telling",
+    "warmup",
+)
 PURE_AGENT = ("orphans", "recovery", "usage")
 IMPURE = {"asyncio", "socket", "time", "threading", "subprocess", "select", "uuid", "secrets"}
 
