The agent's take-up is a module of its own; tasks at a time are bounded; removal in one step

service.py gathered what it is made of, what it finds and what it shows. Found on the way: a removal that was cut short left half a folder, which told of a task that had run as of one that never did (folders go to trash whole first); a damaged record with an unfit uid kept the agent from starting; over-commit bounds sums, so tasks that ask for next to nothing were not bounded (tasks.most). Why a task is over is decided in recovery. Files without I/O are checked by the layers' test.

--- a/kelpfront/agent/folders.py
+++ b/kelpfront/agent/folders.py
@@ -77,6 +77,11 @@
     return record
 
 
+def trash(tasks: Path) -> Path:
+    """Where folders go before they are removed: half a folder would tell another story than a whole one."""
+    return tasks.with_name("trash")
+
+
 def watch_name(number: int) -> str:
     return f"watch-{number}"
 
--- a/kelpfront/agent/recovery.py
+++ b/kelpfront/agent/recovery.py
@@ -45,6 +45,16 @@
     damaged: bool = False
 
 
+def cause_of(stopped_for: str | None, same_boot: bool, exit_known: bool) -> str:
+    """Why a task is over that ended while the agent was away: by itself, stopped for a reason, or lost.
+
+    A host that came up anew has lost what had not ended before; whatever it was to be stopped for.
+    """
+    if not (same_boot or exit_known):
+        return "lost"
+    return stopped_for or "ended"
+
+
 def judge(evidence: Evidence) -> Fate:
     """The fate of one attempt.
 
--- a/kelpfront/agent/runtime.py
+++ b/kelpfront/agent/runtime.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import shutil
 from collections import OrderedDict
@@ -373,8 +374,12 @@
         except StateError as error:
             log.error("ended tasks stay on record", error=str(error))
             return
+        trash = folders.trash(self._folder)
+        trash.mkdir(exist_ok=True)
         for _, folder in gone:
-            await asyncio.to_thread(shutil.rmtree, folder, True)
+            with contextlib.suppress(OSError):  # it may be gone already
+                folder.rename(trash / folder.name)
+        await asyncio.to_thread(shutil.rmtree, trash, True)
 
     def folder_of(self, task: str, attempt: int | None) -> Path | None:
         """Where a task's output is; of its last attempt here where none is named."""
--- a/kelpfront/agent/service.py
+++ b/kelpfront/agent/service.py
@@ -18,26 +18,22 @@
 
 import structlog
 
-from kelpfront.agent import folders
 from kelpfront.agent.copies import FileCopies, NoCopies
-from kelpfront.agent.evidence import look, request_of, void_start
-from kelpfront.agent.folders import UnreadableError
 from kelpfront.agent.orphans import Orphans
 from kelpfront.agent.process import boot_id, uptime_s
-from kelpfront.agent.recovery import Fate, judge
-from kelpfront.agent.runtime import UNSEEN, RunLimits, Runtime
+from kelpfront.agent.runtime import RunLimits, Runtime
 from kelpfront.agent.sampler import Sampler
 from kelpfront.agent.server import AgentServer
 from kelpfront.agent.spawner import Spawner
-from kelpfront.agent.state import End, Opened, Recorded, State, StateError
+from kelpfront.agent.state import Opened, State, StateError
 from kelpfront.agent.supervisor import NOTICES
+from kelpfront.agent.takeup import TakeUp
 from kelpfront.agent.useloop import UseLoop
 from kelpfront.clock import CommonClock
 from kelpfront.config.agent import AgentConfig
 from kelpfront.http.server import HttpLimits
 from kelpfront.machine.admission import Capacity
 from kelpfront.machine.copies import Copies
-from kelpfront.machine.messages import GoneCause
 from kelpfront.machine.model import NodeSettings
 from kelpfront.machine.node import Node
 from kelpfront.machine.warmup import Warmup
@@ -75,6 +71,7 @@
 
     server_class: type[AgentServer] = AgentServer
     runtime_class: type[Runtime] = Runtime
+    takeup_class: type[TakeUp] = TakeUp
 
     def __init__(
         self,
@@ -89,7 +86,6 @@
         self.facts = facts or HostFacts.read()
         self.folder = Path(config.agent.state)
         self.ready_ms = 0.0
-        self.found = dict.fromkeys((fate.value for fate in Fate), 0)
         self._at = at
         self._began = time.monotonic()
         self._lock: int | None = None
@@ -100,6 +96,7 @@
         self._orphans = Orphans(config.tasks.orphans)
         self.orphaned = 0
         self.grpc: GrpcNode | None = None
+        self._started = False  # there are a server and a runtime to close
 
     # ---- Start ----------------------------------------------------------------------------------------
 
@@ -134,8 +131,12 @@
                 folder_of=self.runtime.folder_of,
                 limits=HttpLimits(connections=CONNECTIONS, body_bytes=BODY_BYTES),
             )
+            self._started = True
             await self._spawner.open()
-            self._recover(opened)
+            self.takeup = self.takeup_class(
+                self.node, self._state, self.runtime, self.folder / "tasks", self.facts.boot, self._copies
+            )
+            self.takeup.run(self.clock.now(), opened)
             if opened.meta.get("draining") == "yes":
                 self.node.drain(self.clock.now(), True)
             host, _, port = self.config.agent.listen.rpartition(":")
@@ -235,7 +236,10 @@
 
     def _first_seq(self, opened: Opened) -> int:
         """Above all numbers given before, even where the record of them is lost: by the time of day then."""
-        last = int(opened.meta.get("seq", "0"))
+        text = opened.meta.get("seq", "")
+        last = (
+            int(text) if text.isascii() and text.isdigit() else 0
+        )  # out of a damaged state it may be anything
         return max(last + 1, int(time.time())) << SEQ_SHIFT
 
     async def _keep_seq(self, seq: int) -> None:
@@ -260,6 +264,7 @@
                 host.accepts_memory,
             ),
             line=starts.line,
+            tasks_most=self.config.tasks.most,
             parallel_starts=starts.parallel,
             answers=starts.answer,
             pushes_out=starts.pushes_out,
@@ -283,96 +288,6 @@
         now = self.clock.now()
         return Node(settings, boot, now - age_ms, lambda: starts.weigh, copies, first_seq)
 
-    # ---- What is here already -------------------------------------------------------------------------
-
-    def _recover(self, opened: Opened) -> None:
-        """Takes up what an earlier agent left: from its records, and from folders that have none."""
-        now = self.clock.now()
-        tasks = self.folder / "tasks"
-        recorded = set()
-        open_records = []
-        for record in sorted(opened.records, key=lambda record: record.since):
-            folder = tasks / folders.folder_name(record.key[0], record.began)
-            recorded.add(folder.name)
-            if record.end is not None:
-                self._take_ended(record, folder)
-            else:
-                open_records.append((record, folder))
-        for folder in sorted(path for path in tasks.iterdir() if path.is_dir()):
-            if folder.name not in recorded and (lost := self._unrecorded(folder)) is not None:
-                open_records.append((lost, folder))
-        if self._copies is not None:
-            held = frozenset(record.request.offer.task for record, _ in open_records)
-            self._copies.remove_machine(self.config.agent.name, held)
-        for record, folder in open_records:
-            # A record out of a damaged state may be older than the removal of its folder.
-            doubtful = opened.set_aside is not None and not folder.exists()
-            self._take_up(now, record, folder, doubtful)
-
-    def _take_ended(self, record: Recorded, folder: Path) -> None:
-        self.node.restore_ended(record.request.placer, record.report(), record.seq)
-        if record.heard:
-            self.node.acknowledge_task(record.request.offer.task)
-        self.runtime.keep(record.key, folder)
-
-    def _unrecorded(self, folder: Path) -> Recorded | None:
-        """A folder that the state does not know: the state was lost, or damaged where this was."""
-        try:
-            task = folders.read(folder, folders.TASK)
-            if task is None:
-                return None  # made by an agent that died in that instant: nothing can have come of it
-            request = request_of(task)
-            offer = request.offer
-            if folders.folder_name(offer.task, offer.attempt) != folder.name:
-                raise UnreadableError(f"{folder}: is of another task")
-            return Recorded(request, str(task["boot"]), float(task["since"]), offer.attempt)
-        except (UnreadableError, KeyError, ValueError) as error:
-            log.error("a task's folder cannot be read and is left as it is", error=str(error))
-            return None
-
-    def _take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
-        found = look(folder, self.facts.boot, record.boot)
-        fate = Fate.ENDED_UNSEEN if doubtful else judge(found.evidence)
-        if fate is Fate.UNCLAIMED:
-            try:
-                void_start(folder)
-                found = look(folder, self.facts.boot, record.boot)
-                fate = judge(found.evidence)
-            except OSError as error:
-                log.error("start not voided", folder=str(folder), error=str(error))
-        self.found[fate.value] += 1
-        log.info("task taken up", task=record.key[0], attempt=record.key[1], fate=fate.value)
-        self._state.intend(record)
-        match fate:
-            case Fate.NEVER_RAN:
-                why = str((found.exit or {}).get("error") or "its agent went down before it was started")
-                self._end(record, folder, End("failed", False, message=why))
-            case Fate.ENDED | Fate.ENDED_UNSEEN:
-                its_exit = found.exit or {"error": UNSEEN}
-                cause: GoneCause = "ended" if found.stop is None else found.stop.get("cause", "stopped")
-                if record.boot != self.facts.boot and found.exit is None:
-                    cause = "lost"
-                code, cpu_s = its_exit.get("code"), its_exit.get("cpu_s")
-                self._end(record, folder, End(cause, True, code, cpu_s, str(its_exit.get("error", ""))))
-            case _:
-                cause = "ended" if found.stop is None else found.stop.get("cause", "stopped")
-                runs = fate in (Fate.RUNNING, Fate.UNWATCHED)
-                self.node.restore(
-                    now,
-                    record.request,
-                    "stopping" if found.stop is not None else "running" if runs else "starting",
-                    record.since,
-                    cause,
-                )
-                self.runtime.resume(record, folder, fate, found)
-
-    def _end(self, record: Recorded, folder: Path, end: End) -> None:
-        """It was over before this agent started: told of in the next snapshot."""
-        record.end, record.seq = end, self.node.first_seq - 1  # the number of this agent's first snapshots
-        self.node.restore_ended(record.request.placer, record.report(), record.seq)
-        self._state.ended(record)
-        self.runtime.keep(record.key, folder)
-
     # ---- While it runs --------------------------------------------------------------------------------
 
     def _changed(self) -> None:
@@ -435,7 +350,7 @@
             "load": node.load(),
             "placers": sorted(self.server.connected),
             "readyMs": round(self.ready_ms, 1),
-            "found": {fate: count for fate, count in self.found.items() if count},
+            "found": dict(self.takeup.found),
             "starts": self._spawner.starts,
             "orphaned": self.orphaned,
             "orphansAfterMs": None if math.isinf(orphans) else orphans,
@@ -481,9 +396,8 @@
         await asyncio.gather(*self._jobs, return_exceptions=True)
         if self.grpc is not None:
             await self.grpc.close()
-        if hasattr(self, "server"):
+        if self._started:
             await self.server.close()
-        if hasattr(self, "runtime"):
             await self.runtime.close()
         await self._spawner.close()
         await self._state.close()
--- a/kelpfront/config/agent.py
+++ b/kelpfront/config/agent.py
@@ -88,6 +88,9 @@
 class TasksSection(Section):
     """How tasks are kept."""
 
+    most: Annotated[int, Whole(1, 100_000)] = Field(
+        1_000, description="Tasks at a time, however little they ask for: each is some processes."
+    )
     log_size: Annotated[int, Size("4 KiB", "1 GiB")] = Field(
         parse_size("1 MiB"), description="One file of a task's output."
     )
--- a/kelpfront/lab/wrongagents.py
+++ b/kelpfront/lab/wrongagents.py
@@ -8,38 +8,55 @@
 from kelpfront.agent.runtime import Run, Runtime
 from kelpfront.agent.service import AgentService
 from kelpfront.agent.state import End, Opened, Recorded
+from kelpfront.agent.takeup import TakeUp
 from kelpfront.machine.model import Begin
 
 
+class _ForgetfulTakeUp(TakeUp):
+    def run(self, now: float, opened: Opened) -> None:
+        pass
+
+
 class Forgets(AgentService):
     """Starts with an empty memory."""
 
-    def _recover(self, opened: Opened) -> None:
-        pass
+    takeup_class = _ForgetfulTakeUp
+
+
+class _EagerTakeUp(TakeUp):
+    def take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
+        super().take_up(now, record, folder, doubtful)
+        if record.end is None and record.request.offer.task in self.node.tasks:
+            run = Run(record, folder.with_name(f"{folder.name}.again"))
+            self._runtime._spawn(self._runtime._start(run))
 
 
 class StartsAgain(AgentService):
     """Starts what it finds running, as if only the intent counted."""
 
-    def _take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
-        super()._take_up(now, record, folder, doubtful)
-        if record.end is None and record.request.offer.task in self.node.tasks:
-            run = Run(record, folder.with_name(f"{folder.name}.again"))
-            self.runtime._spawn(self.runtime._start(run))
+    takeup_class = _EagerTakeUp
+
+
+class _SilentTakeUp(TakeUp):
+    def end(self, record: Recorded, folder: Path, end: End) -> None:
+        pass
 
 
 class DropsExits(AgentService):
     """Does not tell of exits that came while it was away."""
 
-    def _end(self, record: Recorded, folder: Path, end: End) -> None:
-        pass
+    takeup_class = _SilentTakeUp
+
+
+class _DenyingTakeUp(TakeUp):
+    def take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
+        self.end(record, folder, End("failed", False, message="never ran"))
 
 
 class TakesRunningForNeverRun(AgentService):
     """Says of what it finds running that it never ran."""
 
-    def _take_up(self, now: float, record: Recorded, folder: Path, doubtful: bool) -> None:
-        self._end(record, folder, End("failed", False, message="never ran"))
+    takeup_class = _DenyingTakeUp
 
 
 class _HalfRuntime(Runtime):
@@ -61,16 +78,19 @@
             super()._over(run, found, seen)
 
 
+class _DeafTakeUp(TakeUp):
+    def end(self, record: Recorded, folder: Path, end: End) -> None:
+        if end.ran and not hash_of(record.key[0]) % 3:
+            self.node.restore(record.since, record.request, "running", record.since)
+        else:
+            super().end(record, folder, end)
+
+
 class MissesExits(AgentService):
     """Does not see the exits of some tasks, and after a restart shows them as running still."""
 
     runtime_class = _DeafRuntime
-
-    def _end(self, record: Recorded, folder: Path, end: End) -> None:
-        if end.ran and not hash_of(record.key[0]) % 3:
-            self.node.restore(self.clock.now(), record.request, "running", record.since)
-        else:
-            super()._end(record, folder, end)
+    takeup_class = _DeafTakeUp
 
 
 class _DoubleRuntime(Runtime):
--- a/kelpfront/machine/model.py
+++ b/kelpfront/machine/model.py
@@ -27,6 +27,7 @@
     kept_programs: int  # services whose program stays for a while after their last task
     heartbeat_ms: float
     warmup: Warmup
+    tasks_most: int | None = None  # tasks at a time, however little they ask for
     start_rate: float | None = None  # starts a millisecond that are begun at the most when warm
 
 
--- a/kelpfront/machine/node.py
+++ b/kelpfront/machine/node.py
@@ -15,6 +15,7 @@
 from kelpfront.machine.admission import Claim, evict, weigh
 from kelpfront.machine.copies import Copies, CopyBoard
 from kelpfront.machine.messages import (
+    NO_CORES,
     NOT_HERE,
     QUEUE_FULL,
     Answer,
@@ -358,6 +359,9 @@
             return Answer("refused", NOT_HERE, "draining", self.load())
         if offer.needs_kind and offer.needs_kind != self.settings.kind:
             return Answer("refused", NOT_HERE, f"kind {self.settings.kind}, {offer.needs_kind} needed")
+        if self.settings.tasks_most is not None and len(self._held) >= self.settings.tasks_most:
+            message = f"{len(self._held)} tasks are here, which is the most"
+            return Answer("refused", NO_CORES, message, self.load())
         if len(self._line) >= self.settings.line:
             return Answer("refused", QUEUE_FULL, f"{len(self._line)} asks wait", self.load())
         return None
--- a/kelpfront/machine/position.py
+++ b/kelpfront/machine/position.py
@@ -1,7 +1,7 @@
 """How far a placer has read a machine's stream, whatever carries it. No I/O.
 
-Messages that change what the placer knows are numbered. After a break the placer asks for the first that it has
-not seen, of the life that the numbers are of; a machine that no longer has it begins with a snapshot instead.
+Messages that change what the placer knows are numbered. After a break the placer asks for the first that it
+has not seen, of the life that the numbers are of; a machine that no longer has it begins with a snapshot.
 """
 
 from __future__ import annotations
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -484,6 +484,34 @@
         assert "written by a later version" in its.log.read_text()
 
 
+async def test_old_folders_go_whole_and_a_record_that_is_none_is_passed_over(tmp_path: Path) -> None:
+    few = ("tasks.kept=3",)
+    async with agent(tmp_path, overrides=few) as its:
+        for number in range(12):
+            await its.offer(f"t{number}", "exit 0")
+        tasks = its.state / "tasks"
+        await until(lambda: len(list(tasks.iterdir())) <= 3 and not (its.state / "trash").exists())
+        await its.kill()
+        # A removal that was cut short, and a record that no task can have.
+        (its.state / "trash" / "t0@0").mkdir(parents=True)
+        db = sqlite3.connect(its.state / "state.db")
+        db.execute('UPDATE tasks SET offer = replace(CAST(offer AS TEXT), \'"task":"t9\', \'"task":"../t9\')')
+        db.commit()
+        db.close()
+        await its.start(overrides=few)
+        assert not (its.state / "trash").exists()
+        assert "passed over" in its.log.read_text()
+        assert set(await snapshot(its)) <= {"t10", "t11", "t8", "t7"}
+        assert kind(await its.offer("new", START + "sleep 60")) == ("running", "")
+
+
+async def test_tasks_that_ask_for_next_to_nothing_are_bounded_all_the_same(tmp_path: Path) -> None:
+    async with agent(tmp_path, overrides=("tasks.most=5",)) as its:
+        answers = [await its.offer(f"t{n}", cores=1e-6, memory=1e-6) for n in range(7)]
+        assert [answer.answer for answer in answers if answer] == ["running"] * 5 + ["refused"] * 2
+        assert answers[-1] is not None and "which is the most" in answers[-1].message
+
+
 # ---- Clocks, cold hosts, drains, orphans ------------------------------------------------------------------
 
 
--- a/tests/test_agent_decisions.py
+++ b/tests/test_agent_decisions.py
@@ -18,7 +18,7 @@
 from kelpfront.agent.folders import EXIT, STARTED, folder_name, read, write_once
 from kelpfront.agent.orphans import Orphans
 from kelpfront.agent.process import Identity, Stat, below, boot_id, identify, is_alive, parse_stat
-from kelpfront.agent.recovery import Claim, Evidence, Fate, judge
+from kelpfront.agent.recovery import Claim, Evidence, Fate, cause_of, judge
 from kelpfront.agent.state import End, Recorded, State, StateError
 from kelpfront.agent.usage import ProcessSample, Smoothing, TreeSample, next_period_ms, trees
 from kelpfront.machine.messages import Gone, Hello, OfferRequest, Snapshot, Taken, TaskReport
@@ -98,6 +98,12 @@
     assert judge(evidence) is fate
 
 
+def test_why_a_task_is_over_that_ended_unseen() -> None:
+    assert cause_of(None, True, True) == "ended" and cause_of("evicted", True, False) == "evicted"
+    assert cause_of("stopped", False, False) == "lost", "its host went down"
+    assert cause_of("stopped", False, True) == "stopped", "it had ended before"
+
+
 # ---- Processes --------------------------------------------------------------------------------------------
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,19 +57,24 @@
 }
 PURE = ("api", "rpc", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
 """Parts that do no I/O and read no clock."""
-PURE_MACHINE = (
-    "admission",
-    "convert",
-    "copies",
-    "messages",
-    "model",
-    "node",
-    "outbox",
-    "position",
-    "telling",
-    "warmup",
-)
-PURE_AGENT = ("orphans", "recovery", "usage")
+PURE_FILES = {
+    "agent": {"orphans", "recovery", "usage"},
+    "client": {"informer", "retry"},
+    "fronts": {"session"},
+    "machine": {
+        "admission",
+        "convert",
+        "copies",
+        "messages",
+        "model",
+        "node",
+        "outbox",
+        "position",
+        "telling",
+        "warmup",
+    },
+}
+"""Files without I/O of parts that have some."""
 IMPURE = {"asyncio", "socket", "time", "threading", "subprocess", "select", "uuid", "secrets"}
 
 
@@ -108,8 +113,7 @@
 @pytest.mark.parametrize("path", modules(), ids=lambda path: str(path.relative_to(ROOT)))
 def test_what_decides_does_no_io_and_reads_no_clock(path: Path) -> None:
     part = part_of(path)
-    pure = part in PURE or (part == "machine" and path.stem in PURE_MACHINE)
-    pure = pure or (part == "agent" and path.stem in PURE_AGENT)
+    pure = part in PURE or path.stem in PURE_FILES.get(part, ())
     files = path.name == "read.py" and part == "inventory"
     if pure and not files:
         assert not {name.split(".")[0] for name in imports(path)} & IMPURE
