Connections over gRPC are bounded; figures by HdrHistogram; what is told of use has one rule

Neither gRPC server bounded its connections, and answers that wait for a placer that does not read were bounded by its offers only as long as they were not answered. Percentiles were worked out by hand in five places beside the library; stand-ins and agents each had the rule on which changes of use are told. lab agent-cost measures the ways to make a supervisor, which the design page had figures of without a command.

--- a/kelpfront/agent/useloop.py
+++ b/kelpfront/agent/useloop.py
@@ -15,11 +15,10 @@
 from kelpfront.config.agent import AgentConfig
 from kelpfront.machine.messages import Note
 from kelpfront.machine.node import Node
+from kelpfront.machine.telling import worth_telling
 
 log = structlog.get_logger("kelpfront.agent")
 
-NOTE_CHANGE = 0.1  # of what was told before: smaller changes of use are not told
-
 
 class UseLoop:
     """Of one agent. Figures are in cores and in the deployment's unit of memory where they leave it."""
@@ -94,10 +93,7 @@
 
     def _tell(self, task: str, cores: float, memory: float) -> None:
         held, before = self._node.tasks[task], self._told.get(task)
-        if before is not None and all(
-            abs(value - told) <= NOTE_CHANGE * told
-            for value, told in zip((cores, memory), before, strict=True)
-        ):
+        if not worth_telling((cores, memory), before):
             return
         self._told[task] = cores, memory
         self._node.note(Note(task, held.offer.attempt, "cores", round(cores, 4)))
--- a/kelpfront/fronts/grpc/server.py
+++ b/kelpfront/fronts/grpc/server.py
@@ -23,6 +23,7 @@
 class GrpcLimits:
     """What one server spends on its clients."""
 
+    connections: int = 10_000
     message_bytes: int = 1 << 20  # of a request
     metadata_bytes: int = 16 << 10  # of a call
     streams_a_connection: int = 100  # calls at a time, watches among them
@@ -77,6 +78,7 @@
         limits = self.limits
         server = grpc.aio.server(
             options=[
+                ("grpc.max_allowed_incoming_connections", limits.connections),
                 ("grpc.max_receive_message_length", limits.message_bytes),
                 ("grpc.max_metadata_size", limits.metadata_bytes),
                 ("grpc.absolute_max_metadata_size", 2 * limits.metadata_bytes),
--- a/kelpfront/lab/agentcost.py
+++ b/kelpfront/lab/agentcost.py
@@ -6,6 +6,7 @@
 import os
 import sqlite3
 import statistics
+import sys
 import time
 import zlib
 from collections.abc import Callable
@@ -15,8 +16,11 @@
 import msgspec
 import psutil
 
+from kelpfront.agent import folders
+from kelpfront.agent.spawner import Spawner
 from kelpfront.http.client import HttpConnection
 from kelpfront.lab.agents import AgentTask
+from kelpfront.lab.figures import latencies
 from kelpfront.lab.process import END_WITHIN_S, Process
 from kelpfront.lab.reap import end_left
 from kelpfront.machine.messages import Command, JobRef, Offer, OfferRequest, decode_answer, encode
@@ -45,6 +49,7 @@
 IDLE_S = 6.0
 TIMED = 200  # starts one after another
 AT_ONCE = 64
+PYTHON_STARTS = 30
 WRITES = 300  # of each way to keep a record
 RECORD = 600  # bytes
 
@@ -67,7 +72,8 @@
         for count in self._tasks:
             self._say(f"with {count} tasks")
             held.append(await self._hold(count))
-        return {"records": ways, "starts": starts, "held": held}
+        makes = {"python": await python_starts(), "fork": await fork_starts(self._work)}
+        return {"records": ways, "makes": makes, "starts": starts, "held": held}
 
     # ---- Starts ---------------------------------------------------------------------------------------
 
@@ -90,12 +96,8 @@
             await asyncio.gather(*(start(number) for number in range(many)))
             rate = many / (time.perf_counter() - began)
             status = await agent.status()
-            took.sort()
             return {
-                "one_ms": {
-                    "p50": round(took[len(took) // 2], 2),
-                    "p99": round(took[int(len(took) * 0.99)], 2),
-                },
+                "one_ms": latencies(took),
                 "starts_per_s": round(rate, 1),
                 "writes_a_transaction": round(status["stateWrites"] / status["stateTransactions"], 1),
             }
@@ -261,11 +263,44 @@
         return took
 
     ways = {"sqlite_wal_full": sqlite("FULL"), "sqlite_wal_normal": sqlite("NORMAL"), "log_crc": log()}
-    return {name: _spread([value * 1000.0 for value in took]) for name, took in ways.items()}
+    return {name: latencies([value * 1000.0 for value in took]) for name, took in ways.items()}
 
 
-def _spread(took: list[float]) -> dict[str, float]:
-    """Of milliseconds."""
-    ordered = sorted(took)
-    p99 = ordered[int(len(ordered) * 0.99)]
-    return {"p50_ms": round(ordered[len(ordered) // 2], 3), "p99_ms": round(p99, 3)}
+async def python_starts() -> dict[str, Any]:
+    """A supervisor by a new Python each, in place of a fork: milliseconds until it could begin, MiB of its own."""
+    took, own = [], []
+    code = "import kelpfront.agent.supervisor as s, sys; print(flush=True); sys.stdin.read()"
+    for _ in range(PYTHON_STARTS):
+        began = time.perf_counter()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-I",
+            "-c",
+            code,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert process.stdout is not None
+        await process.stdout.readline()
+        took.append((time.perf_counter() - began) * 1000.0)
+        own.append(psutil.Process(process.pid).memory_full_info().uss / 2**20)
+        await process.communicate(b"")
+    return {"start_ms": latencies(took), "own_mib": round(statistics.mean(own), 2)}
+
+
+async def fork_starts(work: Path) -> dict[str, Any]:
+    """A supervisor by the forkserver: milliseconds until it is there. What it has for itself is in `held`."""
+    spawner = Spawner(work)
+    await spawner.open()
+    took = []
+    try:
+        for number in range(PYTHON_STARTS):
+            folder = work / f"fork-{number}"
+            folder.mkdir()
+            folders.write_once(folder, folders.CLAIM, {"by": "agent"})  # voided: it forks, and ends
+            began = time.perf_counter()
+            await spawner.start(folder)
+            took.append((time.perf_counter() - began) * 1000.0)
+    finally:
+        await spawner.close()
+    return {"start_ms": latencies(took)}
--- a/kelpfront/lab/badday.py
+++ b/kelpfront/lab/badday.py
@@ -28,6 +28,7 @@
     write_lines,
 )
 from kelpfront.lab.checker import Figures, Verdict, check
+from kelpfront.lab.figures import latencies
 from kelpfront.lab.fleet import FleetModel
 from kelpfront.lab.owners import ClassShape, OwnersTask
 from kelpfront.lab.process import END_WITHIN_S, Placer, Process, raise_file_limit
@@ -327,20 +328,6 @@
         }
 
 
-def latencies(values: Sequence[float]) -> dict[str, float]:
-    """p50, p99 and the most, in milliseconds."""
-    from hdrh.histogram import HdrHistogram
-
-    histogram = HdrHistogram(1, 60 * 60 * 1000 * 1000, 3)
-    for value in values:
-        histogram.record_value(max(1, round(value * 1000)))
-    found = {"p50": histogram.get_value_at_percentile(50), "p99": histogram.get_value_at_percentile(99)}
-    return {
-        **{name: round(value / 1000, 1) for name, value in found.items()},
-        "max": round(max(values, default=0.0), 1),
-    }
-
-
 def _with_address(host: Host) -> Host:
     return Host(host.name, host.kind, host.rack, host.room, host.cores, host.memory, f"http://{host.name}:1")
 
--- a/kelpfront/lab/fronts.py
+++ b/kelpfront/lab/fronts.py
@@ -27,6 +27,7 @@
 from kelpfront.clock import CommonClock
 from kelpfront.config.reader import parse_config
 from kelpfront.inventory import Inventory
+from kelpfront.lab.figures import latencies
 from kelpfront.lab.fleet import Fleet, FleetModel
 from kelpfront.lab.recording import Recorder
 from kelpfront.lab.setup import make_hosts
@@ -267,7 +268,7 @@
                 figures[way] = {
                     "jobs_per_s": round(len(jobs) / wall, 1),
                     "cpu_ms_a_job": round(cpu * 1000.0 / len(jobs), 2),
-                    "answer_ms": spread(took),
+                    "answer_ms": latencies(took),
                 }
         differing = [
             token
@@ -415,11 +416,3 @@
     if end and end[0] == "rejected":
         return f"rejected {end[2]}"
     return "/".join(sorted({f"{answer} {state}" for _, answer, state in end}))
-
-
-def spread(values: list[float]) -> dict[str, float]:
-    ordered = sorted(values) or [0.0]
-    return {
-        "p50": round(ordered[len(ordered) // 2], 1),
-        "p99": round(ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))], 1),
-    }
--- a/kelpfront/lab/process.py
+++ b/kelpfront/lab/process.py
@@ -8,12 +8,16 @@
 import resource
 import sys
 from collections.abc import Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from kelpfront.client import Client, ServerUnreachableError
+from kelpfront.inventory import Host, Inventory
+from kelpfront.lab.fleet import FleetModel
+from kelpfront.lab.setup import write_csv
 
 UP_WITHIN_S = 60.0
 END_WITHIN_S = 30.0
@@ -160,6 +164,30 @@
         await self.process.wait(END_WITHIN_S)
 
 
+def stand_in_machines(
+    work: Path, hosts: Sequence[Host], model: FleetModel, protocol: str = "http"
+) -> Process:
+    """Stand-ins for hosts, by the settings in the folder; they write its inventory.csv."""
+    plan = {host.name: replace(host, address=f"http://{host.name}:1") for host in hosts}
+    write_csv(work / "plan.csv", Inventory("", plan))
+    return Process(
+        "machines",
+        "kelpfront",
+        "machines",
+        "-c",
+        str(work / "cluster.ini"),
+        "--inventory",
+        str(work / "plan.csv"),
+        "--write-inventory",
+        str(work / "inventory.csv"),
+        "--protocol",
+        protocol,
+        "--model",
+        msgspec.json.encode(model).decode(),
+        log_to=work / "machines.log",
+    )
+
+
 def raise_file_limit() -> None:
     """As many files as this user may have: each link is a socket or more."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/kelpfront/lab/protocols.py
+++ b/kelpfront/lab/protocols.py
@@ -13,22 +13,20 @@
 import statistics
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from pathlib import Path
 from typing import Any, Literal
 
 import grpc
-import msgspec
 
 from kelpfront.api.jobs import JobSpec
 from kelpfront.api.meta import JOBS
 from kelpfront.client import Client
 from kelpfront.client.grpc import GrpcClient
-from kelpfront.inventory import Inventory
+from kelpfront.lab.figures import latencies
 from kelpfront.lab.fleet import FleetModel
-from kelpfront.lab.fronts import SETTINGS, spread
-from kelpfront.lab.process import Placer, Process
-from kelpfront.lab.setup import make_hosts, write_csv
+from kelpfront.lab.fronts import SETTINGS
+from kelpfront.lab.process import Placer, stand_in_machines
+from kelpfront.lab.setup import make_hosts
 from kelpfront.rpc.convert import spec_message
 from kelpfront.v1 import api_pb2 as pb
 from kelpfront.v1 import api_pb2_grpc
@@ -259,25 +257,8 @@
         work = self._work / f"{protocol}-{time.monotonic_ns()}"
         work.mkdir()
         hosts = make_hosts(self._machines, ("hall-a", "hall-b"), [("small", 24.0, 48.0)])
-        plan = [replace(host, address=f"http://{host.name}:1") for host in hosts]
-        write_csv(work / "plan.csv", Inventory("", {host.name: host for host in plan}))
         (work / "cluster.ini").write_text(SETTINGS)
-        machines = Process(
-            "machines",
-            "kelpfront",
-            "machines",
-            "-c",
-            str(work / "cluster.ini"),
-            "--inventory",
-            str(work / "plan.csv"),
-            "--write-inventory",
-            str(work / "inventory.csv"),
-            "--protocol",
-            protocol,
-            "--model",
-            msgspec.json.encode(MODEL).decode(),
-            log_to=work / "machines.log",
-        )
+        machines = stand_in_machines(work, hosts, MODEL, protocol)
         placer = Placer(0, 1, work, ("hall-a",), grpc="127.0.0.1:0")
         try:
             await machines.start()
@@ -318,7 +299,7 @@
             "placer_cpu_ms": cpu * 1000.0 / jobs,
             "client_cpu_ms": own * 1000.0 / jobs,
             "failed": float(sum(load.failed.values())),
-            **spread(load.took),
+            **latencies(load.took),
         }
 
     async def _bytes(self, placer: Placer, way: Way) -> dict[str, float]:
--- a/kelpfront/lab/reconnect.py
+++ b/kelpfront/lab/reconnect.py
@@ -13,7 +13,6 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -26,11 +25,10 @@
 from kelpfront.client.grpc import GrpcClient
 from kelpfront.client.rest import RestClient
 from kelpfront.client.retry import BURST, SHARE, even_share_worst
-from kelpfront.inventory import Inventory
 from kelpfront.lab.fleet import FleetModel
 from kelpfront.lab.fronts import SETTINGS
-from kelpfront.lab.process import Placer, Process, raise_file_limit
-from kelpfront.lab.setup import make_hosts, write_csv
+from kelpfront.lab.process import Placer, Process, raise_file_limit, stand_in_machines
+from kelpfront.lab.setup import make_hosts
 
 NAMESPACE = "herd"
 WINDOW_MS = 100.0
@@ -190,23 +188,8 @@
     async def run(self) -> dict[str, Any]:
         shape, work = self.shape, self.work
         hosts = make_hosts(40, ("hall-a",), [("small", 24.0, 48.0)])
-        plan = [replace(host, address=f"http://{host.name}:1") for host in hosts]
-        write_csv(work / "plan.csv", Inventory("", {host.name: host for host in plan}))
         (work / "cluster.ini").write_text(SETTINGS)
-        machines = Process(
-            "machines",
-            "kelpfront",
-            "machines",
-            "-c",
-            str(work / "cluster.ini"),
-            "--inventory",
-            str(work / "plan.csv"),
-            "--write-inventory",
-            str(work / "inventory.csv"),
-            "--model",
-            msgspec.json.encode(MODEL).decode(),
-            log_to=work / "machines.log",
-        )
+        machines = stand_in_machines(work, hosts, MODEL)
         placer = Placer(0, 1, work, ("hall-a",), grpc="127.0.0.1:0")
         herds: list[Process] = []
         try:
--- a/kelpfront/lab/restarts.py
+++ b/kelpfront/lab/restarts.py
@@ -23,6 +23,7 @@
 from kelpfront.api.meta import JOBS, Object
 from kelpfront.client import Client, ServerUnreachableError
 from kelpfront.lab.agents import POINTS, AgentTask
+from kelpfront.lab.figures import latencies
 from kelpfront.lab.process import END_WITHIN_S, Placer, Process
 from kelpfront.lab.reap import end_left
 
@@ -335,8 +336,8 @@
         duplicated += [task for (task, _), count in attempts.items() if count > 1]
         own = {task: float(used) for task, _, used in self._read("burnt") if reported.get(task)}
         total_own, total_told = sum(own.values()), sum(reported[task] for task in own)
-        ready = sorted(ms for agent in self._agents for ms in agent.ready_ms[1:])
-        up = sorted(s for agent in self._agents for s in agent.up_s[1:])
+        ready = [ms for agent in self._agents for ms in agent.ready_ms[1:]]
+        up = [s * 1000.0 for agent in self._agents for s in agent.up_s[1:]]
         return {
             "seed": shape.seed,
             "restarts": sum(len(agent.ready_ms) - 1 for agent in self._agents),
@@ -353,11 +354,7 @@
             "violations": len(broken),
             "use_compared": len(own),
             "use_error": round(abs(total_told - total_own) / total_own, 4) if total_own else None,
-            "ready_ms": {"p50": _middle(ready), "max": ready[-1] if ready else None},
-            "process_to_ready_s": {"p50": _middle(up), "max": round(up[-1], 3) if up else None},
+            "ready_ms": latencies(ready),
+            "process_to_ready_ms": latencies(up),
             "examples": {"lost": lost[:5], "duplicated": duplicated[:5], "unreported": unreported[:5]},
         }
-
-
-def _middle(values: list[float]) -> float | None:
-    return round(values[len(values) // 2], 3) if values else None
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -30,6 +30,7 @@
 from kelpfront.machine.model import Begin, Halt, NodeSettings, TakeOver
 from kelpfront.machine.node import Node
 from kelpfront.machine.server import MachineServer
+from kelpfront.machine.telling import worth_telling
 
 if TYPE_CHECKING:
     from kelpfront.machine.grpcserver import GrpcNode
@@ -38,7 +39,6 @@
 
 USE_PERIOD_S = 0.5
 LEFT_KEPT = 1000  # offers whose placers have left, so that each is told of once
-NOTE_CHANGE = 0.1  # of what was told before: smaller changes of use are not told
 TOLD_WELL = 0.95  # of full service: above this nothing is told of how a task is served
 
 
@@ -447,7 +447,7 @@
             if held is None or held.phase != "running":
                 continue
             before = self._told_use.get(task)
-            if before is None or abs(use[0] - before[0]) > NOTE_CHANGE * before[0]:
+            if worth_telling(use, before):
                 self._told_use[task] = use
                 self.node.note(Note(task, held.offer.attempt, "cores", round(use[0], 3)))
                 self.node.note(Note(task, held.offer.attempt, "memory", round(use[1], 3)))
--- a/kelpfront/machine/grpcserver.py
+++ b/kelpfront/machine/grpcserver.py
@@ -23,7 +23,10 @@
 
 Context = grpc.aio.ServicerContext
 
-OFFERS_MOST = 4_096  # of one placer that are not answered; more are refused
+CONNECTIONS = 2_000
+OFFERS_MOST = (
+    4_096  # of one placer whose answers are not written; for more, nothing is read until there is room
+)
 OUT_MOST = 1_000  # messages that wait to be written to one placer
 MESSAGE_BYTES = 1 << 20  # of what placers send: one offer with its command and labels
 WRITE_S = 20.0  # for a placer that does not read
@@ -45,6 +48,7 @@
         server = grpc.aio.server(
             options=[
                 ("grpc.so_reuseport", int(reuse_port)),
+                ("grpc.max_allowed_incoming_connections", CONNECTIONS),
                 ("grpc.max_receive_message_length", MESSAGE_BYTES),
                 ("grpc.max_concurrent_streams", 100),
                 ("grpc.http2.min_recv_ping_interval_without_data_ms", 5_000),
@@ -137,7 +141,12 @@
                 raise Abort  # it is dead, and takes nothing any more
             match request.WhichOneof("message"):
                 case "offer":
-                    self._spawn(self._offer(request.offer))
+                    if len(self._tasks) < OFFERS_MOST:
+                        self._spawn(self._offer(request.offer))
+                    else:
+                        key = request.offer.task, request.offer.attempt
+                        busy = Answer("refused", QUEUE_FULL, f"{OFFERS_MOST} offers of this placer wait")
+                        await self._out.put(answer_message(*key, busy))
                 case "abandon":
                     peer = self._offers.get((request.abandon.task, request.abandon.attempt))
                     if peer is not None:
@@ -156,27 +165,23 @@
 
     async def _offer(self, message: pb.OfferTask) -> None:
         key = message.task, message.attempt
-        answer: Answer | None
         try:
             offer = read_offer(message)
         except UnknownWordError as error:
-            answer = Answer("refused", NOT_HERE, str(error))
-        else:
-            if len(self._offers) >= OFFERS_MOST:
-                answer = Answer("refused", QUEUE_FULL, f"{OFFERS_MOST} offers of this placer wait")
-            else:
-                peer = self._offers[key] = Peer()
-                request = Request("POST", "/v1/offers", {}, {}, b"", 0.0, peer)
-                try:
-                    offered = OfferRequest(self._open.placer, self._open.incarnation, offer)
-                    answer = await self._server.offer_answer(offered, request)
-                except asyncio.CancelledError:
-                    if not peer.gone:
-                        raise
-                    return  # given up: nobody waits for the answer
-                finally:
-                    if self._offers.get(key) is peer:
-                        del self._offers[key]
+            await self._out.put(answer_message(*key, Answer("refused", NOT_HERE, str(error))))
+            return
+        peer = self._offers[key] = Peer()
+        request = Request("POST", "/v1/offers", {}, {}, b"", 0.0, peer)
+        try:
+            offered = OfferRequest(self._open.placer, self._open.incarnation, offer)
+            answer = await self._server.offer_answer(offered, request)
+        except asyncio.CancelledError:
+            if not peer.gone:
+                raise
+            return  # given up: nobody waits for the answer
+        finally:
+            if self._offers.get(key) is peer:
+                del self._offers[key]
         await self._out.put(answer_message(*key, answer))
 
     async def _tell(self) -> None:
--- a/kelpfront/machine/telling.py
+++ b/kelpfront/machine/telling.py
@@ -14,6 +14,7 @@
 V = TypeVar("V")
 
 ENDED_KEPT = 2_000  # ended tasks that a snapshot still tells of
+NOTE_CHANGE = 0.1  # of what was told before: smaller changes of use are not told
 PLACERS_MOST = 1_000  # placers that this machine keeps an outbox for
 
 
@@ -79,6 +80,13 @@
         return seen
 
 
+def worth_telling(now: tuple[float, ...], before: tuple[float, ...] | None) -> bool:
+    """Whether figures of use differ enough from what was told of them."""
+    if before is None:
+        return True
+    return any(abs(value - told) > NOTE_CHANGE * told for value, told in zip(now, before, strict=True))
+
+
 def keep(kept: OrderedDict[K, V], key: K, value: V, most: int) -> None:
     """Puts in a bounded memory; the oldest go."""
     kept[key] = value
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -104,7 +104,12 @@
                 self.clock.now,
                 turns,
                 self.changed,
-                GrpcLimits(message_bytes=limits.body, metadata_bytes=limits.head, streams=limits.watches),
+                GrpcLimits(
+                    connections=limits.connections,
+                    message_bytes=limits.body,
+                    metadata_bytes=limits.head,
+                    streams=limits.watches,
+                ),
             )
         self.links: dict[str, MachineLink] = {}
         self.lag_ms = 0.0  # how late the heart's timers were at the worst, between two looks
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -404,6 +404,28 @@
         await until(lambda: len(streams) == 0)
 
 
+async def test_connections_are_bounded() -> None:
+    async with served(1, "limits.connections=3") as (_, service, _stubs):
+        channels = [
+            grpc.aio.insecure_channel(
+                service.grpc_target, options=[("grpc.use_local_subchannel_pool", 1), ("x", number)]
+            )
+            for number in range(6)
+        ]
+
+        async def is_up(channel: grpc.aio.Channel) -> bool:
+            try:
+                await asyncio.wait_for(channel.channel_ready(), 2.0)
+            except TimeoutError:
+                return False
+            return True
+
+        up = await asyncio.gather(*(is_up(channel) for channel in channels))
+        for channel in channels:
+            await channel.close()
+        assert 1 <= sum(up) <= 3
+
+
 async def _first(call: Any) -> Any:
     async for message in call:
         return message
