--- a/kelpfront/lab/agentcost.py
+++ b/kelpfront/lab/agentcost.py
@@ -267,7 +267,7 @@
 
 
 async def python_starts() -> dict[str, Any]:
-    """A supervisor by a new Python each, in place of a fork: milliseconds until it could begin, MiB of its own."""
+    """A supervisor by a new Python each, not by a fork: milliseconds until it could begin, MiB of its own."""
     took, own = [], []
     code = "import kelpfront.agent.supervisor as s, sys; print(flush=True); sys.stdin.read()"
     for _ in range(PYTHON_STARTS):
