--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -67,7 +67,9 @@
 def agent_cost(tasks: str, as_json: bool) -> None:
     """Measure one node agent: starts a second, a durable start, its CPU and memory, its restart."""
     from kelpfront.lab.agentcost import AgentCost
+    from kelpfront.service.logs import configure_logs
 
+    configure_logs("warning", "auto")
     try:
         counts = [int(text) for text in tasks.split(",")]
     except ValueError:
@@ -152,7 +154,9 @@
     """Measure what a job costs by REST, gRPC and a Bindings stream, and offers by HTTP and by streams."""
     from kelpfront.lab.process import raise_file_limit
     from kelpfront.lab.protocols import Protocols
+    from kelpfront.service.logs import configure_logs
 
+    configure_logs("error", "auto")
     raise_file_limit()
 
     def say(text: str) -> None:
