lab reconnect counts a job as lost only when its task was last seen to run

A job whose task was lost before the placer's kill is legitimately unknown to the next placer; it was counted as lost. Now only one last seen Placed or Running counts.

--- a/kelpfront/lab/reconnect.py
+++ b/kelpfront/lab/reconnect.py
@@ -158,14 +158,14 @@
             transport.create = counted  # type: ignore[method-assign]
 
     async def _follow(self, client: DisciplinedClient, job: Any, seen: asyncio.Event) -> None:
-        placed = False
+        runs = False
         try:
             async for state in client.follow(job):
                 if state.status is not None and state.status.tasks[0].answer is not None:
-                    placed = state.status.tasks[0].answer == "Placed"
+                    runs = state.status.tasks[0].state in ("Placed", "Running")
                     seen.set()
         except ApiError as error:
-            if placed:  # of the others a placer that starts anew knows nothing: nothing of them runs
+            if runs:  # of the others a placer that starts anew knows nothing: nothing of them runs
                 self._lost.append(f"{job.metadata.name}: {error.message}")
 
     async def _feed(self, client: DisciplinedClient, number: int) -> None:
