--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -42,6 +42,7 @@
         script = "echo $KELPFRONT_JOB/$KELPFRONT_INDEX on $KELPFRONT_MACHINE; exit 7"
         assert kind(await its.offer("t1", script)) == ("running", "")
         await until(lambda: its.record("t1", "exit"))
+        await until_told(its, "t1")
         messages = await its.read_stream()
         assert isinstance(messages[0], Hello)
         report = (await snapshot(its))["t1"]
@@ -86,7 +87,8 @@
     async with agent(tmp_path) as its:
         for number in range(20):
             assert kind(await its.offer(f"t{number}", "exit 0")) == ("running", "")
-        await until(lambda: all(its.record(f"t{n}", "exit") for n in range(20)))
+        for number in range(20):
+            await until_told(its, f"t{number}")
         reports = await snapshot(its)
         assert {report.exit_code for report in reports.values()} == {0} and len(reports) == 20
 
@@ -102,6 +104,7 @@
         assert its.lines("terms") == ["term"], "stopped once"
         found = its.record("t1", "exit")
         assert found is not None and found["code"] == 128 + signal.SIGKILL
+        await until_told(its, "t1")
         assert (await snapshot(its))["t1"].cause == "stopped"
 
 
@@ -569,6 +572,7 @@
         await its.offer("kept", START + "sleep 60", placer="p0")
         reading = asyncio.create_task(its.read_stream(seconds=20.0, placer="p0"))
         await until(lambda: its.record("left", "exit"))
+        await until_told(its, "left")
         assert not is_gone(its.pid("kept"))
         reading.cancel()
         report = {
