--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -251,7 +251,16 @@
 async def test_deleting_a_job_stops_it_on_its_machine_once() -> None:
     async with cluster(2) as (its, service, client):
         await client.submit("climate", spec(count=3), name="a")
-        await until(lambda: sum(len(m.node.tasks) for m in its.fleet.machines.values()) == 3)
+        await until(
+            lambda: (
+                sum(
+                    m.node.tasks[t].phase == "running"
+                    for m in its.fleet.machines.values()
+                    for t in m.node.tasks
+                )
+                == 3
+            )
+        )
         await client.delete_job("climate", "a")
         await until(lambda: not any(m.node.tasks for m in its.fleet.machines.values()))
         assert len(its.events("end", cause="stopped")) == 3
