The heart is parted: its timers and what it shows are modules of their own

Levels of reduced service slow down what is shown and add timers; the heart gathered both with the life of tasks.

--- a/kelpfront/placer/directory.py
+++ b/kelpfront/placer/directory.py
@@ -251,10 +251,10 @@
     # ---- What owners are shown ------------------------------------------------------------------------
 
     @staticmethod
-    def worth_showing(now: float, entry: Entry) -> bool:
-        """Whether figures that only drift are to be shown anew."""
+    def worth_showing(now: float, entry: Entry, slower: float = 1.0) -> bool:
+        """Whether figures that only drift are to be shown anew; `slower` times less often than usual."""
         period = SHOW_PERIOD_MS if entry.tasks == entry.shown_tasks else SHOW_TASKS_MS
-        return entry.load is not None and now >= entry.shown_at + period
+        return entry.load is not None and now >= entry.shown_at + slower * period
 
     def render(self, entry: Entry) -> Object:
         """The machine's object for the API."""
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -30,8 +29,10 @@
 from kelpfront.placer.directory import Changes, Directory, Entry
 from kelpfront.placer.intents import AbandonOffer, Intent, LogLine, SendOffer, SendProbe, SendStop
 from kelpfront.placer.offers import job_of, make_offer
+from kelpfront.placer.showing import Showing
 from kelpfront.placer.strays import Verdict, judge
 from kelpfront.placer.tasks import OVER, Attempt, Job, Task
+from kelpfront.placer.timers import Timers
 from kelpfront.rules import Scheduler
 from kelpfront.store import ResourceStore, Stored
 from kelpfront.units import format_duration, parse_duration
@@ -103,11 +104,9 @@
         self._pending = 0  # of them, those that are still wanted
         self._events: deque[api.Event] = deque()
         self._feeding = False
-        self._timers: list[tuple[float, int, Callable[[float], None]]] = []
-        self._timer_number = 0
+        self._timers = Timers()
         self._check_at = -math.inf
-        self._dirty: dict[Job, None] = {}
-        self._dirty_machines: dict[Entry, None] = {}
+        self._showing = Showing(store, self.directory)
         self._stops: dict[tuple[str, str], int] = {}  # host and task: attempt, until the machine has heard
         self._intents: list[Intent] = []
 
@@ -204,7 +203,7 @@
             self._tokens[namespace, job.token] = job
         self._add_tasks(job, spec.count, received_at)
         self._take_arrivals(now)
-        self._dirty.pop(job, None)  # what is decided by now is in what is shown first
+        self._showing.drop_job(job)  # what is decided by now is in what is shown first
         return self.store.create(JOBS, job.key, job.render(), 1 + len(job.tasks))
 
     def _add_tasks(self, job: Job, count: int, received_at: float) -> None:
@@ -212,7 +211,7 @@
         if count + self._pending > ARRIVALS_A_TURN:
             # Those whose turn does not come in time must still be answered in time.
             due = deadline - 2 * self.cluster.settings.tick_ms
-            self._set_timer(due, lambda then: self._hand_over_late(then, job))
+            self._timers.set(due, lambda then: self._hand_over_late(then, job))
         for _ in range(count):
             index = job.next_index
             job.next_index += 1
@@ -262,7 +261,7 @@
             self._withdraw(now, task)
             job.remove(task)
         self._check_finished(now, job)
-        self._dirty[job] = None
+        self._showing.job(job)
         self._take_arrivals(now)
         self.flush(now)
         return self.store.get(JOBS, key)
@@ -281,7 +280,7 @@
         del self._jobs[job.key]
         job.tasks.clear()  # tasks refer to their job: without this the two would be garbage for the collector
         self._finished.pop(job.key, None)
-        self._dirty.pop(job, None)
+        self._showing.drop_job(job)
         if self._tokens.get((job.namespace, job.token)) is job:
             del self._tokens[job.namespace, job.token]
 
@@ -449,7 +448,7 @@
 
     def _machines_changed(self, now: float, changes: Changes) -> None:
         for entry in changes.states:
-            self._dirty_machines[entry] = None
+            self._showing.machine(entry)
         for entry in changes.lost:
             for task in list(self._tasks.values()):
                 attempt = task.open_attempt
@@ -625,7 +624,7 @@
             self._answered(now, task, S.PLACED)
         if running:
             task.move(now, S.RUNNING)
-        self._dirty[task.job] = None
+        self._showing.job(task.job)
         self._log_task("info", "task found", task, machine=entry.name, attempt=wire_number)
         found = api.TaskFound(task.number, cls, service, spec["cores"], spec["memory"], entry.number)
         self._feed(now, found)
@@ -661,7 +660,7 @@
             task.move(now, S.RUNNING)
             note = api.TaskNote(task.number, attempt.number, attempt.machine, api.Topic.RUNNING, 1.0)
             self._feed(now, note)
-        self._dirty[task.job] = None
+        self._showing.job(task.job)
 
     def _over(
         self,
@@ -722,7 +721,7 @@
         over = task_over or task.withdrawn or not task.waits or found is not None
         if not over:
             task.move(now, S.PENDING)
-        self._dirty[task.job] = None
+        self._showing.job(task.job)
         took = now - (attempt.sent_at if attempt.sent_at is not None else attempt.decided_at)
         closed = api.AttemptClosed(task.number, attempt.number, attempt.machine, how, reason, over, took)
         self._feed(now, closed)
@@ -739,7 +738,7 @@
         if task.waits:
             self._open_tasks -= 1
         task.move(now, state)
-        self._dirty[task.job] = None
+        self._showing.job(task.job)
 
     def _check_finished(self, now: float, job: Job) -> None:
         if job.deleted or job.phase is not Phase.FINISHED:
@@ -750,8 +749,7 @@
         while len(self._finished) > self.limits.finished_jobs:
             key = next(iter(self._finished))
             oldest = self._jobs[key]
-            if oldest in self._dirty:
-                self._show_job(oldest)
+            self._showing.show_last(oldest)
             oldest.deleted = True
             for task in list(oldest.tasks.values()):
                 self._drop(task)
@@ -790,7 +788,7 @@
             case api.Bind():
                 self._bind(now, action)
             case api.SetTimer(at, token):
-                self._set_timer(at, lambda then: self._feed(then, api.TimerFired(token)))
+                self._timers.set(at, lambda then: self._feed(then, api.TimerFired(token)))
             case api.Refuse(number, wait_ms):
                 self._final(now, number, S.REFUSED, wait_ms)
             case api.Fail(number):
@@ -814,8 +812,8 @@
         attempt = Attempt(task, number, number, entry.name, bind.machine, now, now + bind.timeout_ms)
         task.attempts.append(attempt)
         task.move(now, S.PLACING)
-        self._dirty[task.job] = None
-        self._set_timer(attempt.timeout_at, lambda then: self._timed_out(then, attempt))
+        self._showing.job(task.job)
+        self._timers.set(attempt.timeout_at, lambda then: self._timed_out(then, attempt))
         self._intents.append(SendOffer(entry.name, make_offer(self.cluster, task, attempt)))
 
     def _final(self, now: float, number: api.TaskId, state: TaskState, wait_ms: float) -> None:
@@ -836,7 +834,7 @@
         if task.open_attempt is None and not self._may_turn_up(task):
             self._drop(task)
         else:
-            self._set_timer(now + self.cluster.settings.recheck_ms, lambda then: self._settle(then, task))
+            self._timers.set(now + self.cluster.settings.recheck_ms, lambda then: self._settle(then, task))
 
     def _may_turn_up(self, task: Task) -> bool:
         return any(attempt.sent_at is not None for attempt in task.attempts)
@@ -892,24 +890,19 @@
 
     # ---- Time -----------------------------------------------------------------------------------------
 
-    def _set_timer(self, at: float, call: Callable[[float], None]) -> None:
-        self._timer_number += 1
-        heapq.heappush(self._timers, (at, self._timer_number, call))
-
     def next_timer(self) -> float:
         """When `advance` is to be called next."""
         if self._arrivals:
             return -math.inf
-        return min(self._timers[0][0] if self._timers else math.inf, self._check_at)
+        return min(self._timers.next(), self._check_at)
 
     def advance(self, now: float) -> None:
         """Does what is due by now: timers in their order, machines that fell silent, tasks that came in."""
-        while self._timers and self._timers[0][0] <= now:
-            heapq.heappop(self._timers)[2](now)
+        self._timers.run(now)
         if now >= self._check_at:
             self._check_at = now + CHECK_MS
             self._machines_changed(now, self.directory.advance(now))
-            self._show_machines(now)
+            self._showing.drift(now)
         self._take_arrivals(now)
         self._pump(now)
 
@@ -945,37 +938,8 @@
     # ---- What owners see ------------------------------------------------------------------------------
 
     def flush(self, now: float) -> None:
-        """Shows all changes since the last call: one change of the store a job, however many led to it."""
-        for job in self._dirty:
-            if not job.deleted:
-                self._show_job(job)
-        self._dirty.clear()
-        for entry in self._dirty_machines:
-            self._show_machine(now, entry)
-        self._dirty_machines.clear()
-
-    def _show_job(self, job: Job) -> None:
-        self.store.update(JOBS, job.key, job.render(), 1 + len(job.tasks))
-
-    def _show_machines(self, now: float) -> None:
-        """Figures that only drift are shown now and then."""
-        for entry in list(self.directory.entries.values()):
-            if entry.removed and not entry.tasks and not entry.link_up:
-                self.directory.forget(entry.name)
-                self._dirty_machines.pop(entry, None)
-                if self.store.find(MACHINES, ("", entry.name)) is not None:
-                    self.store.delete(MACHINES, ("", entry.name))
-            elif self.directory.worth_showing(now, entry):
-                self._dirty_machines[entry] = None
-
-    def _show_machine(self, now: float, entry: Entry) -> None:
-        entry.shown_at, entry.shown_tasks = now, entry.tasks
-        key = "", entry.name
-        body = self.directory.render(entry)
-        if self.store.find(MACHINES, key) is None:
-            self.store.create(MACHINES, key, body)
-        else:
-            self.store.update(MACHINES, key, body)
+        """Brings all changes since the last call to the store."""
+        self._showing.flush(now)
 
     def take_intents(self) -> list[Intent]:
         intents, self._intents = self._intents, []
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -264,7 +264,7 @@
         super()._answered(now, task, state)
         old = task.attempts[-1]
         late = Attempt(task, 7, 7, old.host, old.machine, now, 1e18, sent_at=None)
-        self._set_timer(
+        self._timers.set(
             now + 600.0,
             lambda then: self._intents.append(SendOffer(old.host, make_offer(self.cluster, task, late))),
         )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,6 +19,7 @@
     "wire": {"kelpfront.interface"},
     "simhost": {"kelpfront.interface", "kelpfront.rules", "kelpfront.wire"},
     "api": set(),
+    "levels": set(),
     "store": {"kelpfront.api"},
     "inventory": set(),
     "machine": {"kelpfront.http", "kelpfront.v1"},
@@ -26,6 +27,7 @@
         "kelpfront.api",
         "kelpfront.store",
         "kelpfront.inventory",
+        "kelpfront.levels",
         "kelpfront.machine",
         "kelpfront.rules",
     },
@@ -55,7 +57,19 @@
         "kelpfront.v1",
     },
 }
-PURE = ("api", "rpc", "store", "placer", "inventory", "rules", "interface", "units", "numbers", "backoff")
+PURE = (
+    "api",
+    "levels",
+    "rpc",
+    "store",
+    "placer",
+    "inventory",
+    "rules",
+    "interface",
+    "units",
+    "numbers",
+    "backoff",
+)
 """Parts that do no I/O and read no clock."""
 PURE_FILES = {
     "agent": {"orphans", "recovery", "usage"},
