--- /dev/null
+++ b/kelpfront/levels/ladder.py
@@ -0,0 +1,223 @@
+"""The state machine: which level a placer is at. Pure; times are elapsed milliseconds, never falling.
+
+Raised at once where the evidence is there, lowered step by step: from `essential` and `holding` by way of
+`recovering`. What keeps it from swinging: two bounds for each symptom, evidence times, leave times that grow
+with each return, and a budget of changes an hour that no sequence of observations can exceed. Raising is
+never denied: lowering is, while the budget would not be enough to be raised to the top again.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from kelpfront.levels.bounds import (
+    DAMPING,
+    ENTER_MS,
+    HOUR_MS,
+    JITTER,
+    LEAVE_MS,
+    LONGEST_LEAVE_MS,
+    STEP_MS,
+    SYMPTOMS,
+    Symptom,
+)
+from kelpfront.levels.model import RAISED, Level
+
+CHANGES_KEPT = 50  # shown to operators
+
+Readings = Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """One symptom that spoke: its value and the bound that it was held to."""
+
+    symptom: str
+    value: float
+    bound: float
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of level. `at` is elapsed time; `why` is for people, `evidence` has the figures."""
+
+    at: float
+    before: Level
+    after: Level
+    why: str
+    evidence: tuple[Evidence, ...] = ()
+
+
+@dataclass(slots=True)
+class _Trace:
+    """Since when a symptom has been over the one bound of a level, and under the other."""
+
+    over_since: float = math.inf
+    under_since: float = math.inf
+    value: float = 0.0
+
+
+class Ladder:
+    """Of one placer. `ranks` is how many ranks of classes come back one after another."""
+
+    def __init__(self, ranks: int, changes_an_hour: int, seed: int, symptoms: tuple[Symptom, ...] = SYMPTOMS):
+        if changes_an_hour < 1 + Level.FULL.steps_above:
+            raise ValueError(f"changes an hour: at least {1 + Level.FULL.steps_above} are needed")
+        self.level = Level.RECOVERING  # what went on before this life is not known
+        self.since = 0.0
+        self.ranks, self.budget = ranks, changes_an_hour
+        self.back = 1  # of the ranks, from the dearest, those that are back; all unless recovering
+        self.changes: deque[Change] = deque(maxlen=CHANGES_KEPT)
+        self.pinned: Level | None = None
+        self.pinned_until = 0.0
+        self._symptoms = {symptom.name: symptom for symptom in symptoms}
+        self._traces = {
+            (level, symptom.name): _Trace()
+            for level in RAISED
+            for symptom in symptoms
+            if symptom.bound(level) is not None
+        }
+        self._recent: deque[float] = deque()  # when the changes of the last hour were; at most `budget`
+        self._returns: dict[Level, deque[float]] = {level: deque(maxlen=16) for level in RAISED}
+        self._chance = random.Random(seed)
+        self._jitter = self._draw()
+        self._stepped_at = 0.0
+        self._at = 0.0
+
+    def _draw(self) -> float:
+        return 1.0 + JITTER * (2.0 * self._chance.random() - 1.0)
+
+    # ---- What is known of now -------------------------------------------------------------------------
+
+    @property
+    def changes_in_hour(self) -> int:
+        return len(self._recent)
+
+    def value(self, symptom: str) -> float:
+        return next((t.value for (_, name), t in self._traces.items() if name == symptom), 0.0)
+
+    def enter_ms(self, level: Level) -> float:
+        return ENTER_MS[level] * self._jitter
+
+    def leave_ms(self, level: Level) -> float:
+        """How long a level's symptoms must be away; longer the more often it came back within the hour."""
+        returns = sum(at > self._at - HOUR_MS for at in self._returns[level])
+        grown = LEAVE_MS[level] * DAMPING ** max(0, returns - 1)
+        return min(grown, max(LONGEST_LEAVE_MS, LEAVE_MS[level])) * self._jitter
+
+    def speaking(self, level: Level) -> list[Evidence]:
+        """The symptoms that keep a level from being left, with the bound that they must fall under."""
+        found = []
+        for (its, name), trace in self._traces.items():
+            if its is level and trace.under_since == math.inf:
+                bound = self._symptoms[name].bound(level)
+                assert bound is not None
+                found.append(Evidence(name, trace.value, bound.leave))
+        return found
+
+    def quiet_for(self, level: Level) -> float:
+        """For how long all symptoms of a level have been away."""
+        return self._at - max(trace.under_since for (its, _), trace in self._traces.items() if its is level)
+
+    def may_lower(self, to: Level) -> bool:
+        """Whether the budget allows a step down and all the steps up that may follow it."""
+        return len(self._recent) + 1 + to.steps_above <= self.budget
+
+    def budget_free_at(self, to: Level) -> float:
+        """When a step down will be within the budget."""
+        needed = len(self._recent) + 1 + to.steps_above - self.budget
+        return self._at if needed <= 0 else self._recent[needed - 1] + HOUR_MS
+
+    # ---- Time -----------------------------------------------------------------------------------------
+
+    def step(self, at: float, readings: Readings) -> Change | None:
+        """Takes what is seen now; at most one change comes of it."""
+        self._at = max(self._at, at)
+        while self._recent and self._recent[0] <= self._at - HOUR_MS:
+            self._recent.popleft()
+        self._note(readings)
+        if self.pinned is not None:
+            if self._at < self.pinned_until:
+                return None
+            self.pinned = None
+        return self._raise() or self._lower()
+
+    def pin(self, at: float, level: Level | None, until: float = math.inf) -> Change | None:
+        """Holds a level by an operator's word, or lets go of it.
+
+        Not counted in the budget; from a level that was pinned low it may be raised past it, once to the top.
+        """
+        self._at = max(self._at, at)
+        self.pinned, self.pinned_until = level, until
+        if level is None or level is self.level:
+            return None
+        return self._go(level, "pinned by an operator", (), counted=False)
+
+    def _note(self, readings: Readings) -> None:
+        for (level, name), trace in self._traces.items():
+            bound = self._symptoms[name].bound(level)
+            assert bound is not None
+            trace.value = readings.get(name, 0.0)
+            if trace.value < bound.enter:
+                trace.over_since = math.inf
+            elif trace.over_since == math.inf:
+                trace.over_since = self._at
+            if trace.value >= bound.leave:
+                trace.under_since = math.inf
+            elif trace.under_since == math.inf:
+                trace.under_since = self._at
+
+    def _raise(self) -> Change | None:
+        """The highest level that is called for, if it is above this one."""
+        for level in reversed(RAISED):
+            if level <= self.level:
+                return None
+            found = []
+            for (its, name), trace in self._traces.items():
+                if its is level and self._at - trace.over_since >= self.enter_ms(level):
+                    bound = self._symptoms[name].bound(level)
+                    assert bound is not None
+                    found.append(Evidence(name, trace.value, bound.enter))
+            if found:
+                why = ", ".join(f"{one.symptom} {one.value:.3g} is {one.bound:g} or more" for one in found)
+                self._returns[level].append(self._at)
+                return self._go(level, why, tuple(found))
+        return None
+
+    def _lower(self) -> Change | None:
+        match self.level:
+            case Level.HOLDING | Level.ESSENTIAL:
+                if self._quiet(self.level):
+                    return self._down(Level.RECOVERING, f"no symptom calls for {self.level.word} any more")
+            case Level.RECOVERING:
+                if self.back < self.ranks and self._at - self._stepped_at >= STEP_MS * self._jitter:
+                    self.back += 1
+                    self._stepped_at = self._at
+                if self.back >= self.ranks and self._at - self._stepped_at >= STEP_MS * self._jitter:
+                    if self.speaking(Level.CAREFUL):
+                        return self._down(Level.CAREFUL, "all classes are back, and there is still strain")
+                    return self._down(Level.FULL, "all classes are back")
+            case Level.CAREFUL:
+                if self._quiet(Level.CAREFUL):
+                    return self._down(Level.FULL, "no symptom calls for care any more")
+        return None
+
+    def _quiet(self, level: Level) -> bool:
+        return not self.speaking(level) and self.quiet_for(level) >= self.leave_ms(level)
+
+    def _down(self, to: Level, why: str) -> Change | None:
+        return self._go(to, why, ()) if self.may_lower(to) else None
+
+    def _go(self, to: Level, why: str, evidence: tuple[Evidence, ...], counted: bool = True) -> Change:
+        change = Change(self._at, self.level, to, why, evidence)
+        self.changes.append(change)
+        if counted:
+            self._recent.append(self._at)
+        self.level, self.since, self._stepped_at = to, self._at, self._at
+        self.back = 1 if to is Level.RECOVERING else self.ranks
+        self._jitter = self._draw()
+        return change
