Placers enter levels of reduced service: wired through heart, settings, REST and command line

The heart asks the door before it takes a job, tells the governor what happens, looks at the fleet ten times a second, hands arrivals over by rank, owner and deadline, and shows changes as seldom as the level says. levels is a resource with list, watch and a pin; kelpfront status, levels explain, levels pin.

--- a/kelpfront/api/meta.py
+++ b/kelpfront/api/meta.py
@@ -146,7 +146,15 @@
     verbs=("get", "list", "patch", "update", "watch"),
     fields=("spec.kind", "spec.rack", "spec.room", "spec.unschedulable", "status.state"),
 )
-RESOURCES = {resource.plural: resource for resource in (JOBS, MACHINES)}
+LEVELS = Resource(
+    plural="levels",
+    singular="level",
+    kind="Level",
+    namespaced=False,
+    verbs=("get", "list", "patch", "update", "watch"),
+    fields=("status.level",),
+)
+RESOURCES = {resource.plural: resource for resource in (JOBS, MACHINES, LEVELS)}
 
 
 def field_of(obj: Object, path: str) -> str:
--- a/kelpfront/cli/jobs.py
+++ b/kelpfront/cli/jobs.py
@@ -13,7 +13,7 @@
 import yaml
 from rich.table import Table
 
-from kelpfront.api.meta import JOBS, MACHINES, Object, Resource
+from kelpfront.api.meta import JOBS, LEVELS, MACHINES, Object, Resource
 from kelpfront.cli.common import (
     console,
     fail,
@@ -29,7 +29,7 @@
 from kelpfront.client import Client, Event
 from kelpfront.units import parse_duration
 
-RESOURCES = {"job": JOBS, "jobs": JOBS, "machine": MACHINES, "machines": MACHINES}
+RESOURCES = {name: its for its in (JOBS, MACHINES, LEVELS) for name in (its.singular, its.plural)}
 resource_argument = click.argument("resource", type=click.Choice(list(RESOURCES)))
 all_option = click.option("-A", "--all-namespaces", is_flag=True, help="Jobs of all namespaces.")
 
@@ -202,7 +202,7 @@
     resource: str,
     name: str | None,
 ) -> None:
-    """Show jobs or machines, or one of them."""
+    """Show jobs, machines or levels of service, or one of them."""
     its = RESOURCES[resource]
     where = namespace if its.namespaced and not all_namespaces else None
     async with Client(server) as client:
@@ -265,7 +265,7 @@
     resource: str,
     name: str | None,
 ) -> None:
-    """Show jobs or machines and every change of them until Ctrl-C. Cuts are resumed."""
+    """Show jobs, machines or levels of service, and every change of them until Ctrl-C. Cuts are resumed."""
     its = RESOURCES[resource]
     where = namespace if its.namespaced and not all_namespaces else None
     if name is not None:
@@ -334,6 +334,8 @@
     if resource is JOBS:
         columns = ["NAME", "CLASS", "SERVICE", "PHASE", "TASKS", "PLACED", "REFUSED", "FAILED", "CREATED"]
         table = plain_table(*(["NAMESPACE"] if wide else []), *columns)
+    elif resource is LEVELS:
+        table = plain_table("PLACER", "LEVEL", "SINCE", "WHY", "CHANGES")
     else:
         table = plain_table(
             "NAME", "STATE", "KIND", "RACK", "ROOM", "CORES", "MEMORY", "FREE", "FREE MEM", "TASKS", "MESSAGE"
@@ -357,6 +359,9 @@
             metadata["creationTimestamp"],
         ]
         return [metadata["namespace"], *row] if wide else row
+    if resource is LEVELS:
+        changes = f"{status['changesInHour']} of {status['changesMost']} in the hour"
+        return [metadata["name"], status["level"], status["since"], status["why"], changes]
     free = status["free"]
     return [
         metadata["name"],
--- a/kelpfront/cli/main.py
+++ b/kelpfront/cli/main.py
@@ -18,6 +18,8 @@
     "logs": "kelpfront.cli.jobs:logs",
     "watch": "kelpfront.cli.jobs:watch",
     "delete": "kelpfront.cli.jobs:delete",
+    "status": "kelpfront.cli.levels:status",
+    "levels": "kelpfront.cli.levels:levels",
     "drain": "kelpfront.cli.jobs:drain",
     "undrain": "kelpfront.cli.jobs:undrain",
     "inventory": "kelpfront.cli.files:inventory",
--- a/kelpfront/config/build.py
+++ b/kelpfront/config/build.py
@@ -4,6 +4,7 @@
 
 from kelpfront import interface as api
 from kelpfront.config.model import ClassSection, Config
+from kelpfront.levels import LevelSettings
 from kelpfront.placer.cluster import Cluster
 
 PLACES = {
@@ -67,6 +68,17 @@
     return Cluster(settings, kinds, cluster.lost_after)
 
 
+def build_levels(config: Config) -> LevelSettings:
+    """The settings of the levels of reduced service."""
+    section = config.levels
+    return LevelSettings(
+        section.enabled,
+        section.changes_an_hour,
+        section.essential_priority,
+        {name: owner.weight for name, owner in config.owners.items()},
+    )
+
+
 def _task_class(name: str, section: ClassSection, kinds: tuple[str, ...]) -> api.TaskClass:
     return api.TaskClass(
         name=name,
--- a/kelpfront/config/model.py
+++ b/kelpfront/config/model.py
@@ -355,6 +355,30 @@
     )
 
 
+class LevelsSection(Section):
+    """Levels of reduced service: docs/operators/levels.md."""
+
+    enabled: Flag = Field(True, description="Whether levels are entered at all.")
+    changes_an_hour: Annotated[int, Whole(4, 1000)] = Field(
+        12, description="Changes of level in any hour, at the most."
+    )
+    essential_priority: Annotated[int, Whole(0, 100)] | None = Field(
+        None,
+        description="Classes of this priority and above are given up last; the highest there is if absent.",
+    )
+    memory: Annotated[int, Size("16 MiB", "1024 GiB")] | None = Field(
+        None, description="Memory that the placer may take: near it, less is taken on. No bound if absent."
+    )
+
+
+class OwnerSection(Section):
+    """An owner of jobs, by namespace: [owner NAME]."""
+
+    weight: Annotated[float, Number(0.01, 1000)] = Field(
+        1.0, description="Its share of turns and places beside other owners; 1 where there is no section."
+    )
+
+
 class LogSection(Section):
     """The log, on standard error."""
 
@@ -372,9 +396,11 @@
     rules: RulesSection = RulesSection()
     prices: PricesSection = PricesSection()
     limits: LimitsSection = LimitsSection()
+    levels: LevelsSection = LevelsSection()
     log: LogSection = LogSection()
     kinds: dict[str, KindSection] = Field(min_length=1)
     classes: dict[str, ClassSection] = Field(min_length=1)
+    owners: dict[str, OwnerSection] = Field(default_factory=dict)
 
 
 PLAIN_SECTIONS: dict[str, type[Section]] = {
@@ -383,9 +409,12 @@
     "rules": RulesSection,
     "prices": PricesSection,
     "limits": LimitsSection,
+    "levels": LevelsSection,
     "log": LogSection,
 }
 NAMED_SECTIONS: dict[str, tuple[str, type[Section]]] = {
     "kind": ("kinds", KindSection),
     "class": ("classes", ClassSection),
+    "owner": ("owners", OwnerSection),
 }
+OPTIONAL_SECTIONS = frozenset({"owner"})  # of the named ones, those of which there may be none
--- a/kelpfront/config/reader.py
+++ b/kelpfront/config/reader.py
@@ -16,6 +16,7 @@
 
 from kelpfront.config.model import (
     NAMED_SECTIONS,
+    OPTIONAL_SECTIONS,
     PLAIN_SECTIONS,
     Checked,
     ClusterSection,
@@ -131,7 +132,7 @@
                 known = [*plain, *(f"{kind} NAME" for kind in named)]
                 self.problem(name, "", "unknown section", ", ".join(f"[{one}]" for one in known))
         for kind, (field, _) in named.items():
-            if field not in found:
+            if field not in found and kind not in OPTIONAL_SECTIONS:
                 self.problem("", "", f"no [{kind} NAME] section; at least one is needed")
         return found
 
@@ -258,6 +259,7 @@
         "priority": "2",
         "calm": "0.8",
     },
+    "owner climate": {"weight": "1.0"},
 }
 
 
--- a/kelpfront/fronts/grpc/services.py
+++ b/kelpfront/fronts/grpc/services.py
@@ -141,10 +141,10 @@
         self, request: pb.SubmitRequest, context: Context[Any, Any]
     ) -> pb.SubmitResponse:
         sent_at = sent_at_of(context)
-        self._operations.count_try(mark_of(context, "attempt"))
+        again = self._operations.count_try(mark_of(context, "attempt"))
 
         def submit(received_at: float) -> pb.SubmitResponse:
-            job, created = self._submit(request.namespace, request, received_at, sent_at)
+            job, created = self._submit(request.namespace, request, received_at, sent_at, again)
             return pb.SubmitResponse(job=job_message(job), created=created)
 
         return await self._answer(context, submit)
@@ -155,11 +155,12 @@
         request: pb.SubmitRequest | pb.BindingsRequest.Submit,
         received_at: float,
         sent_at: float | None,
+        again: bool = False,
     ) -> tuple[Object, bool]:
         self._operations.check_open(received_at)
         refuse_unknown(request.spec, "spec", request.metadata.name)
         data = job_data(request.metadata, request.spec)
-        written = self._operations.create_job(namespace, data, received_at, sent_at)
+        written = self._operations.create_job(namespace, data, received_at, sent_at, again=again)
         return written.stored.body, written.created
 
     async def Get(  # noqa: N802
--- a/kelpfront/fronts/rest/discovery.py
+++ b/kelpfront/fronts/rest/discovery.py
@@ -12,11 +12,13 @@
 from pydantic.json_schema import models_json_schema
 
 from kelpfront.api.jobs import Job
+from kelpfront.api.levels import Level
 from kelpfront.api.machines import Machine
 from kelpfront.api.meta import (
     API_VERSION,
     GROUP,
     JOBS,
+    LEVELS,
     MACHINES,
     RESOURCES,
     VERSION,
@@ -25,7 +27,7 @@
     Resource,
 )
 
-MODELS: dict[str, type[BaseModel]] = {JOBS.plural: Job, MACHINES.plural: Machine}
+MODELS: dict[str, type[BaseModel]] = {JOBS.plural: Job, MACHINES.plural: Machine, LEVELS.plural: Level}
 
 _GROUP_VERSION = {"groupVersion": API_VERSION, "version": VERSION}
 
--- a/kelpfront/fronts/rest/front.py
+++ b/kelpfront/fronts/rest/front.py
@@ -12,7 +12,7 @@
 
 from kelpfront.api.decode import FieldValidation, parse_json
 from kelpfront.api.errors import ApiError, success
-from kelpfront.api.meta import API_VERSION, GROUP, JOBS, RESOURCES, Object, Resource
+from kelpfront.api.meta import API_VERSION, GROUP, JOBS, LEVELS, RESOURCES, Object, Resource
 from kelpfront.api.selectors import Selector, parse_selector
 from kelpfront.fronts.rest import discovery
 from kelpfront.fronts.rest.logs import LogReader, log_answer
@@ -126,12 +126,17 @@
             case "POST" if creates:
                 self._refuse_dry_run(request)
                 received = self._received(request)
-                self._operations.count_try(request.headers.get("kelpfront-attempt", ""))
+                again = self._operations.count_try(request.headers.get("kelpfront-attempt", ""))
                 self._operations.check_open(received)
                 data = _body(request, JSON)
                 assert target.namespace is not None
                 written = self._operations.create_job(
-                    target.namespace, data, received, _sent_at(request), _validation(request)
+                    target.namespace,
+                    data,
+                    received,
+                    _sent_at(request),
+                    _validation(request),
+                    again=again,
                 )
                 return written_response(201 if written.created else 200, written)
             case "DELETE" if creates:
@@ -175,6 +180,8 @@
                     return written_response(
                         200, operations.replace_job(*key, data, self._received(request), check)
                     )
+                if resource is LEVELS:
+                    return written_response(200, operations.replace_level(target.name, data, check))
                 return written_response(200, operations.replace_machine(target.name, data, check))
             case "PATCH":
                 self._refuse_dry_run(request)
@@ -183,6 +190,8 @@
                     return written_response(
                         200, operations.patch_job(*key, data, self._received(request), check)
                     )
+                if resource is LEVELS:
+                    return written_response(200, operations.patch_level(target.name, data, check))
                 return written_response(200, operations.patch_machine(target.name, data, check))
             case "DELETE" if jobs:
                 self._refuse_dry_run(request)
--- a/kelpfront/levels/door.py
+++ b/kelpfront/levels/door.py
@@ -28,6 +28,8 @@
 }
 BACK_AIMS = 0.7  # of others that are back, in recovering
 LEAST_PLACES = 8  # always: with none there would be no news of whether tasks are placed again
+ROOM_SHARE = 0.5  # of the room that is free, taken as places while the placer itself keeps up: tasks that can
+# start at once are no line. Not all of it, since siblings see the same room.
 HOLDING_PLACES = 0  # of ranks that are not essential, at `holding`
 START_SLACK = 1.5  # starts vary: so many times the usual time of a start is still on its way, not in line
 STUCK_SHARE = 0.5  # of its offers refused as full: then a class waits for itself, and nobody behind it
@@ -49,6 +51,7 @@
     count: int
     patience_ms: float
     again: bool = False
+    possible: bool = True  # whether any machine there is could run it: else it is no sign of anything
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +95,7 @@
         self._ranks = ranks
         self._chance = random.Random(seed)
         self.usual_start_ms = USUAL_START_MS
+        self.room = 0.0  # as last seen; 0 while the placer itself is what is slow
 
     def started(self, took_ms: float) -> None:
         """A task was placed so long after it was taken: the quickest tell what a start takes by itself."""
@@ -113,8 +117,9 @@
         """How many tasks of a rank and above may be waiting for one more to be taken."""
         if ladder.level is Level.HOLDING and rank < self._ranks.essential:
             return HOLDING_PLACES
-        wait_ms = START_SLACK * self.usual_start_ms + self.aims(ladder, rank) * self._ranks.aim_ms[rank]
-        return LEAST_PLACES + pace * wait_ms / 1000.0
+        aims = self.aims(ladder, rank)
+        wait_ms = START_SLACK * self.usual_start_ms + aims * self._ranks.aim_ms[rank]
+        return LEAST_PLACES + max(pace * wait_ms / 1000.0, ROOM_SHARE * min(1.0, aims) * self.room)
 
     def weigh(
         self, at: float, ask: Ask, ladder: Ladder, symptoms: Symptoms, waiting: Waiting
@@ -136,7 +141,7 @@
         if ahead >= places:
             text = f"level {word}: {ahead} tasks wait ahead, {places:.0f} may at {pace:.1f} placed a second"
             return Turned("ReducedService", text, self._retry(ahead - places / 2, pace))
-        wait_ms = max(0.0, (ahead - LEAST_PLACES) / pace * 1000.0) if pace > 0 else 0.0
+        wait_ms = max(0.0, (ahead - LEAST_PLACES - self.room) / pace * 1000.0) if pace > 0 else 0.0
         if wait_ms > ask.patience_ms:
             text = (
                 f"level {word}: it would wait {wait_ms / 1000:.1f} s, "
--- a/kelpfront/levels/governor.py
+++ b/kelpfront/levels/governor.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from kelpfront import interface as api
+from kelpfront.levels.bounds import SYMPTOMS
 from kelpfront.levels.door import Ask, Door, Turned
 from kelpfront.levels.ladder import Change, Ladder
 from kelpfront.levels.model import MEASURES, Level, Measures, Seen
@@ -29,6 +30,20 @@
     owner_weights: Mapping[str, float] = field(default_factory=dict)
 
 
+OWN_SYMPTOMS = ("lag", "deciding", "open-tasks", "memory")
+"""Those of the placer's own process."""
+
+
+def keeps_up(readings: Mapping[str, float]) -> bool:
+    """Whether the placer itself is under all bounds that speak of its own process."""
+    bounds = {symptom.name: symptom.careful for symptom in SYMPTOMS}
+    for name in OWN_SYMPTOMS:
+        bound = bounds[name]
+        if bound is not None and readings.get(name, 0.0) >= bound.enter:
+            return False
+    return True
+
+
 class Governor:
     """Which level, and what is taken at it."""
 
@@ -70,6 +85,7 @@
         """A look at everything; to be called several times a second."""
         at = self.elapsed(now)
         self.readings = self.symptoms.readings(at, seen)
+        self.door.room = seen.room if keeps_up(self.readings) else 0.0
         return self.ladder.step(at, self.readings) if self.settings.enabled else None
 
     def pin(self, now: float, level: Level | None, for_ms: float = 0.0) -> Change | None:
@@ -89,7 +105,7 @@
     def weigh(self, now: float, ask: Ask) -> Turned | None:
         """Whether a job is taken at the present level; None where it is."""
         at = self.elapsed(now)
-        if not ask.again:
+        if ask.possible and not ask.again:
             self.symptoms.asked(at, ask.count)
         if not self.settings.enabled:
             return None
--- a/kelpfront/levels/ladder.py
+++ b/kelpfront/levels/ladder.py
@@ -67,10 +67,10 @@
     def __init__(self, ranks: int, changes_an_hour: int, seed: int, symptoms: tuple[Symptom, ...] = SYMPTOMS):
         if changes_an_hour < 1 + Level.FULL.steps_above:
             raise ValueError(f"changes an hour: at least {1 + Level.FULL.steps_above} are needed")
-        self.level = Level.RECOVERING  # what went on before this life is not known
+        self.level = Level.FULL  # of what an earlier life gave up nothing is known: what is seen decides anew
         self.since = 0.0
         self.ranks, self.budget = ranks, changes_an_hour
-        self.back = 1  # of the ranks, from the dearest, those that are back; all unless recovering
+        self.back = ranks  # from the dearest, those that are back: all unless recovering
         self.changes: deque[Change] = deque(maxlen=CHANGES_KEPT)
         self.pinned: Level | None = None
         self.pinned_until = 0.0
--- a/kelpfront/levels/model.py
+++ b/kelpfront/levels/model.py
@@ -73,6 +73,7 @@
     busy_share: float = 0.0  # of the time since the last look, spent deciding
     open_share: float = 0.0  # of the open tasks that there may be
     memory_share: float = 0.0  # of the memory that the placer may take; 0 where no bound is set
+    room: float = 0.0  # tasks of the mean size that fit into what machines in use have free
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelpfront/placer/directory.py
+++ b/kelpfront/placer/directory.py
@@ -84,6 +84,7 @@
         self._places = Places()
         self.entries: dict[str, Entry] = {}
         self.by_number: dict[api.MachineId, Entry] = {}
+        self._sizes: set[tuple[int, float, float]] | None = None  # kind, cores, memory of what there is
         self._version = 0
         self._listed_at = -math.inf
         self._urgent = False
@@ -93,6 +94,7 @@
     def take_inventory(self, now: float, inventory: Inventory) -> Changes:
         """The machines that there are from now on. One that is named no more is gone."""
         changes = Changes()
+        self._sizes = None
         for name, entry in self.entries.items():
             host = inventory.hosts.get(name)
             if host is None and not entry.removed:
@@ -113,6 +115,19 @@
                 changes.states.append(entry)
         return changes
 
+    def ever_fits(self, kind: int | None, cores: float, memory: float) -> bool:
+        """Whether some machine, of a kind if one is given, is as large as this."""
+        if self._sizes is None:  # there are few sizes, however many machines
+            self._sizes = {
+                (entry.kind, entry.host.cores, entry.host.memory)
+                for entry in self.entries.values()
+                if not entry.removed
+            }
+        return any(
+            kind in (None, its) and cores <= its_cores and memory <= its_memory
+            for its, its_cores, its_memory in self._sizes
+        )
+
     def _describe(self, entry: Entry, host: Host) -> None:
         entry.host = host
         entry.kind = self._cluster.kind_numbers[host.kind]
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -21,13 +21,15 @@
 from kelpfront.api.errors import ApiError, Cause, invalid
 from kelpfront.api.jobs import FIXED_SPEC_FIELDS, JobSpec, Phase, TaskState
 from kelpfront.api.machines import State
-from kelpfront.api.meta import JOBS, MACHINES
+from kelpfront.api.meta import JOBS, LEVELS, MACHINES
 from kelpfront.inventory.model import Inventory
+from kelpfront.levels import Ask, FairQueue, Level, LevelSettings
 from kelpfront.machine import messages as wire
 from kelpfront.numbers import service_number
 from kelpfront.placer.cluster import Cluster
 from kelpfront.placer.directory import Changes, Directory, Entry
 from kelpfront.placer.intents import AbandonOffer, Intent, LogLine, SendOffer, SendProbe, SendStop
+from kelpfront.placer.levelling import Levelling
 from kelpfront.placer.offers import job_of, make_offer
 from kelpfront.placer.showing import Showing
 from kelpfront.placer.strays import Verdict, judge
@@ -86,13 +88,19 @@
         new_uid: Callable[[], str],
         limits: PlacerLimits | None = None,
         scheduler: Scheduler | None = None,
+        levels: LevelSettings | None = None,
+        stopwatch: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        """`levels` None: none are entered. `stopwatch` tells milliseconds of the process's own time."""
         self.cluster, self.store, self.name, self.incarnation = cluster, store, name, incarnation
         self.limits = limits or PlacerLimits()
         self.verbose = False  # whether lines of level debug are made at all: there are several a task
         self.directory = Directory(cluster)
         self._new_uid = new_uid
         self._scheduler = scheduler or Scheduler(cluster.settings, seed)
+        levels = levels or LevelSettings(enabled=False)
+        self.levelling = Levelling(cluster, store, name, levels, seed)
+        self._stopwatch = stopwatch
         self._jobs: dict[tuple[str, str], Job] = {}
         self._tokens: dict[tuple[str, str], Job] = {}
         self._tasks: dict[str, Task] = {}  # by uid: all that are not over, or over and still on a machine
@@ -100,7 +108,9 @@
         self._next_number = 1
         self._open_tasks = 0
         self._finished: OrderedDict[tuple[str, str], None] = OrderedDict()
-        self._arrivals: deque[Task] = deque()
+        self._arrivals: FairQueue[Task] = FairQueue(
+            lambda owner: self.levelling.governor.door.owners.weight(owner)
+        )
         self._pending = 0  # of them, those that are still wanted
         self._events: deque[api.Event] = deque()
         self._feeding = False
@@ -154,6 +164,14 @@
         if causes:
             raise invalid(JOBS, name, tuple(causes))
 
+    def _possible(self, cls: int, cores: float, memory: float) -> bool:
+        """Whether any machine of the inventory could run such a task if it held nothing else."""
+        settings = self.cluster.settings
+        kind = settings.classes[cls].needs_kind
+        return self.directory.ever_fits(
+            kind, cores / settings.accepts_cores, memory / settings.accepts_memory
+        )
+
     def find_token(self, namespace: str, token: str) -> Stored | None:
         """The job that was made with a client's token."""
         job = self._tokens.get((namespace, token))
@@ -168,10 +186,19 @@
         labels: dict[str, str],
         annotations: dict[str, str],
         received_at: float,
+        *,
+        again: bool = False,
     ) -> Stored:
-        """Takes a job: from here on each of its tasks is owed one answer. ApiError where it is not taken."""
+        """Takes a job: from here on each of its tasks is owed one answer. ApiError where it is not taken.
+
+        `again`: its owner has asked before and was told to come back.
+        """
         self.check_spec(name, spec)
         self.store.check_new(JOBS, (namespace, name))
+        left = received_at + self.patience_ms(spec) - now
+        cls = self.cluster.class_numbers[spec.class_]
+        possible = self._possible(cls, spec.cores, spec.memory)
+        self.levelling.weigh(now, Ask(cls, namespace, spec.count, left, again, possible), name)
         if self._open_tasks + spec.count > self.limits.open_tasks:
             raise ApiError(
                 429,
@@ -184,7 +211,6 @@
             raise ApiError(
                 429, f"{self.limits.jobs} jobs are not finished, which is the most", retry_after_s=1
             )
-        cls = self.cluster.class_numbers[spec.class_]
         patience = spec.patience or format_duration(self.cluster.settings.classes[cls].deadline_ms)
         shown = spec.model_dump(by_alias=True, exclude_none=True) | {"patience": patience}
         job = Job(
@@ -197,6 +223,7 @@
             received_at,
             cls,
             parse_duration(patience),
+            possible=possible,
         )
         self._jobs[job.key] = job
         if job.token:
@@ -220,8 +247,9 @@
             self._tasks[task.uid] = task
             self._numbers[task.number] = task
             self._open_tasks += 1
-            self._arrivals.append(task)
+            self._arrivals.push(self.levelling.rank(task), job.namespace, deadline, task)
             self._pending += 1
+        self.levelling.governor.taken(job.cls, job.namespace, count)
 
     def _number(self) -> api.TaskId:
         self._next_number += 1
@@ -247,8 +275,11 @@
             )
             raise invalid(JOBS, job.name, causes)
         more = spec.count - len(job.tasks)
-        if more > 0 and self._open_tasks + more > self.limits.open_tasks:
-            raise ApiError(429, f"{self._open_tasks} tasks wait for their answer", retry_after_s=1)
+        if more > 0:
+            ask = Ask(job.cls, job.namespace, more, job.patience_ms, possible=job.possible)
+            self.levelling.weigh(now, ask, job.name)
+            if self._open_tasks + more > self.limits.open_tasks:
+                raise ApiError(429, f"{self._open_tasks} tasks wait for their answer", retry_after_s=1)
         job.labels, job.annotations = labels, annotations
         if new != job.spec:
             job.spec = new
@@ -290,6 +321,7 @@
             return
         if task.waits:
             self._open_tasks -= 1
+            self.levelling.governor.withdrawn(task.job.cls, task.job.namespace)
         task.withdrawn = True
         if not task.handed_over:
             task.handed_over = True
@@ -310,6 +342,16 @@
         if task.job.deleted:
             task.attempts.clear()  # as above: attempts refer to their task
 
+    def turned_away(self, now: float, count: int, again: bool) -> None:
+        """Tasks were asked for and turned away before they came here: still a sign of what is wanted."""
+        if not again:
+            self.levelling.governor.symptoms.asked(self.levelling.governor.elapsed(now), count)
+
+    def pin_level(self, now: float, level: Level | None, for_ms: float) -> Stored:
+        """Holds a level of service by an operator's word, or lets go of it."""
+        self._intents += self.levelling.pin(now, level, for_ms)
+        return self.store.get(LEVELS, ("", self.name))
+
     # ---- Offers ---------------------------------------------------------------------------------------
 
     def clear_to_send(self, now: float, uid: str, wire_number: int) -> bool:
@@ -417,6 +459,7 @@
             case wire.Snapshot():
                 self._reconcile(now, entry, message)
                 entry.settled = True
+                self.flush(now)  # a job that was found is not to be seen without its tasks
             case wire.Taken():
                 self._taken(now, host, message)
             case wire.Gone():
@@ -640,6 +683,7 @@
             self._stray(now, attempt.host, task.uid, attempt.wire)
         elif not attempt.placed:
             attempt.placed = True
+            self.levelling.offer_closed(now, task, api.End.ENDED, api.Reason.UNTOLD)
             attempt.sent_at = attempt.sent_at if attempt.sent_at is not None else now
             entry = self.directory.entries.get(attempt.host)
             if entry is not None:
@@ -706,6 +750,7 @@
         task = attempt.task
         attempt.ended_at, attempt.end, attempt.reason, attempt.message = now, end, why, message
         if not attempt.placed:
+            self.levelling.offer_closed(now, task, how, reason)
             self._log_task(
                 "debug", f"attempt {end}", task, machine=attempt.host, attempt=attempt.wire, reason=why
             )
@@ -737,6 +782,7 @@
     def _answered(self, now: float, task: Task, state: TaskState) -> None:
         if task.waits:
             self._open_tasks -= 1
+            self.levelling.answered(now, task, state)
         task.move(now, state)
         self._showing.job(task.job)
 
@@ -776,12 +822,14 @@
         if self._feeding:
             return
         self._feeding = True
+        began = self._stopwatch()
         try:
             while self._events:
                 for action in self._scheduler.handle(now, self._events.popleft()):
                     self._act(now, action)
         finally:
             self._feeding = False
+            self.levelling.sight.busy_ms += self._stopwatch() - began
 
     def _act(self, now: float, action: api.Action) -> None:
         match action:
@@ -867,6 +915,8 @@
         attempt = None if task is None else task.attempt(note.attempt)
         if task is not None and attempt is not None and attempt.placed and attempt.host == host:
             topic = TOPICS[note.topic]
+            if topic is api.Topic.SERVICE and not self.levelling.measures.moves:
+                return  # what fares badly is not moved at this level: the decisions are not told of it
             self._feed(now, api.TaskNote(task.number, attempt.number, attempt.machine, topic, note.value))
 
     def _class(self, task: Task) -> api.TaskClass:
@@ -894,7 +944,8 @@
         """When `advance` is to be called next."""
         if self._arrivals:
             return -math.inf
-        return min(self._timers.next(), self._check_at)
+        shown_at = self._showing.due_at(self.levelling.measures.flush_ms)
+        return min(self._timers.next(), self._check_at, shown_at)
 
     def advance(self, now: float) -> None:
         """Does what is due by now: timers in their order, machines that fell silent, tasks that came in."""
@@ -902,7 +953,9 @@
         if now >= self._check_at:
             self._check_at = now + CHECK_MS
             self._machines_changed(now, self.directory.advance(now))
-            self._showing.drift(now)
+            self._showing.drift(now, self.levelling.measures.background)
+            open_share = self._open_tasks / self.limits.open_tasks
+            self._intents += self.levelling.look(now, self.directory, open_share)
         self._take_arrivals(now)
         self._pump(now)
 
@@ -910,7 +963,7 @@
         """Some of the tasks that came in: a job of a thousand must not hold up everything else."""
         handed = 0
         while self._arrivals and handed < ARRIVALS_A_TURN:
-            handed += self._hand_over(now, self._arrivals.popleft())
+            handed += self._hand_over(now, self._arrivals.pop())
 
     def _hand_over(self, now: float, task: Task) -> bool:
         """Gives a task to the decisions; False where they have it already or it is no longer wanted."""
@@ -941,6 +994,11 @@
         """Brings all changes since the last call to the store."""
         self._showing.flush(now)
 
+    def show_due(self, now: float) -> None:
+        """As `flush`, no more often than the present level of service has it."""
+        if now >= self._showing.due_at(self.levelling.measures.flush_ms):
+            self._showing.flush(now)
+
     def take_intents(self) -> list[Intent]:
         intents, self._intents = self._intents, []
         return intents
--- /dev/null
+++ b/kelpfront/placer/levelling.py
@@ -0,0 +1,242 @@
+"""The levels of reduced service within a placer: tells the governor what happens, and shows what it says.
+
+No I/O. It decides nothing: which level, and what is taken at it, is `kelpfront.levels`'.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+from typing import Any
+
+from kelpfront import interface as api
+from kelpfront.api.errors import ApiError, Cause
+from kelpfront.api.jobs import TaskState
+from kelpfront.api.machines import State
+from kelpfront.api.meta import API_VERSION, JOBS, LEVELS, Object
+from kelpfront.clock import timestamp
+from kelpfront.levels import Ask, Change, Governor, Level, LevelSettings, Measures, RoomView, Seen
+from kelpfront.levels.explain import calls, given_up, leaves_when, meaning
+from kelpfront.placer.cluster import Cluster
+from kelpfront.placer.directory import Directory
+from kelpfront.placer.intents import LogLine
+from kelpfront.placer.tasks import Task
+from kelpfront.store import ResourceStore
+from kelpfront.units import format_duration
+
+SHOW_MS = 2_000.0  # between changes of the object that only renew its figures
+OVERDUE_BEATS = 2.0  # a machine that has not been heard for so many heartbeats is overdue
+FULL = frozenset({api.Reason.NO_CORES, api.Reason.NO_MEMORY, api.Reason.QUEUE_FULL})
+CHANGES_SHOWN = 20
+
+
+class Sight:
+    """What the placer's own process tells of itself, between two looks."""
+
+    def __init__(self) -> None:
+        self.lag_ms = 0.0
+        self.busy_ms = 0.0
+        self.memory_share = 0.0
+        self._looked_at: float | None = None
+
+    def late(self, ms: float) -> None:
+        """A timer was so late."""
+        self.lag_ms = max(self.lag_ms, ms)
+
+    def look(self, now: float, directory: Directory, open_share: float, mean_cores: float) -> Seen:
+        """What is seen since the last look; `mean_cores` is what a task asks for in the mean."""
+        span = 0.0 if self._looked_at is None else now - self._looked_at
+        busy = min(1.0, self.busy_ms / span) if span > 0 else 0.0
+        rooms: dict[str, list[float]] = {}
+        ages = []
+        free = 0.0
+        for entry in directory.entries.values():
+            if not entry.boot or entry.removed:
+                continue  # what was never heard is not lost, what was taken out is not missed
+            room = rooms.setdefault(entry.host.room, [0.0, 0.0, 0.0])
+            room[0] += entry.host.cores
+            if entry.state is State.READY:
+                room[1] += entry.host.cores
+                free += 0.0 if entry.load is None else max(0.0, entry.load.free_cores)
+                age = now - entry.heard_at
+                ages.append(age)
+                if age > OVERDUE_BEATS * entry.heartbeat_ms:
+                    room[2] += entry.host.cores
+        seen = Seen(
+            {name: RoomView(*figures) for name, figures in rooms.items()},
+            statistics.median(ages) if ages else 0.0,
+            self.lag_ms,
+            busy,
+            open_share,
+            self.memory_share,
+            free / mean_cores,
+        )
+        self.lag_ms, self.busy_ms, self._looked_at = 0.0, 0.0, now
+        return seen
+
+
+class Levelling:
+    """Of one placer; its object is named as the placer is."""
+
+    def __init__(
+        self, cluster: Cluster, store: ResourceStore, name: str, settings: LevelSettings, seed: int
+    ) -> None:
+        self.governor = Governor(settings, cluster.settings.classes, seed)
+        self.sight = Sight()
+        self._classes = cluster.settings.classes
+        self._mean_cores = cluster.settings.mean_cores
+        self._store, self._name = store, name
+        self._created_at = 0.0
+        self._shown_at = -math.inf
+        self._generation = 1
+        self._pin: Object | None = None
+        self._pin_until = 0.0
+
+    @property
+    def level(self) -> Level:
+        return self.governor.level
+
+    @property
+    def measures(self) -> Measures:
+        return self.governor.measures
+
+    # ---- Work -----------------------------------------------------------------------------------------
+
+    def weigh(self, now: float, ask: Ask, name: str) -> None:
+        """ApiError 429 where a job is not taken at the present level: nothing of it went anywhere."""
+        turned = self.governor.weigh(now, ask)
+        if turned is not None:
+            cause = Cause(f"level:{self.level.word}", turned.text, turned.reason)
+            raise ApiError(
+                429,
+                turned.text,
+                resource=JOBS,
+                name=name,
+                causes=(cause,),
+                retry_after_s=max(1, math.ceil(turned.retry_ms / 1000.0)),
+            )
+
+    def answered(self, now: float, task: Task, state: TaskState) -> None:
+        job = task.job
+        if not job.possible:  # its refusal says nothing of the cluster
+            self.governor.withdrawn(job.cls, job.namespace)
+            return
+        tell = self.governor.placed if state is TaskState.PLACED else self.governor.not_placed
+        tell(now, job.cls, job.namespace, now - task.created_at, job.patience_ms)
+
+    def rank(self, task: Task) -> int:
+        return self.governor.ranks.of[task.job.cls]
+
+    def offer_closed(self, now: float, task: Task, how: api.End, reason: api.Reason) -> None:
+        if how in (api.End.REFUSED, api.End.ENDED):
+            full = how is api.End.REFUSED and reason in FULL
+            self.governor.offer_answered(now, task.job.cls, full)
+
+    # ---- Looks ----------------------------------------------------------------------------------------
+
+    def look(self, now: float, directory: Directory, open_share: float) -> list[LogLine]:
+        """Weighs what is seen; the lines say what changed."""
+        change = self.governor.observe(now, self.sight.look(now, directory, open_share, self._mean_cores))
+        if self._pin is not None and self.governor.pinned is None:
+            self._pin = None
+            self._generation += 1
+            self._shown_at = -math.inf
+        if change is not None or now >= self._shown_at + SHOW_MS * self.measures.background:
+            self.show(now)
+        return [] if change is None else [self._line(change)]
+
+    def pin(self, now: float, level: Level | None, for_ms: float) -> list[LogLine]:
+        """An operator's word."""
+        change = self.governor.pin(now, level, for_ms)
+        self._pin = None if level is None else {"level": level.word, "for": format_duration(for_ms)}
+        self._pin_until = now + for_ms
+        self._generation += 1
+        self.show(now)
+        return [] if change is None else [self._line(change)]
+
+    def _line(self, change: Change) -> LogLine:
+        raised = change.after > change.before
+        fields: dict[str, Any] = {
+            "before": change.before.word,
+            "after": change.after.word,
+            "why": change.why,
+            "symptoms": {name: round(value, 3) for name, value in self.governor.readings.items()},
+        }
+        return LogLine("warning" if raised else "info", "level changed", fields)
+
+    # ---- What is shown --------------------------------------------------------------------------------
+
+    def show(self, now: float) -> None:
+        """Brings the object to the store."""
+        if self._shown_at == -math.inf and not self._created_at:
+            self._created_at = now
+        self._shown_at = now
+        key = "", self._name
+        if self._store.find(LEVELS, key) is None:
+            self._store.create(LEVELS, key, self.render(now))
+        else:
+            self._store.update(LEVELS, key, self.render(now))
+
+    def render(self, now: float) -> Object:
+        governor, ladder = self.governor, self.governor.ladder
+        level = governor.level
+
+        def when(at: float) -> str:  # of elapsed time
+            return timestamp(now - (governor.at - at))
+
+        changes = list(ladder.changes)[-CHANGES_SHOWN:]
+        pace = governor.symptoms.pace(governor.at)
+        classes = []
+        for number, cls in enumerate(self._classes):
+            rank = governor.ranks.of[number]
+            shown: Object = {
+                "name": cls.name,
+                "rank": rank,
+                "essential": governor.ranks.is_essential(number),
+                "waiting": governor.waiting.of_class(number),
+            }
+            if level is not Level.FULL:
+                shown["places"] = math.ceil(governor.door.places(ladder, rank, pace))
+            classes.append(shown)
+        status: Object = {
+            "level": level.word,
+            "since": when(ladder.since),
+            "meaning": meaning(level),
+            "why": changes[-1].why if changes else "the placer has started",
+            "givenUp": given_up(governor),
+            "leavesWhen": leaves_when(governor),
+            "calls": calls(governor),
+            "symptoms": {name: round(value, 3) for name, value in governor.readings.items()},
+            "classes": classes,
+            "turnedAway": dict(governor.turned),
+            "changes": [
+                {
+                    "at": when(change.at),
+                    "before": change.before.word,
+                    "after": change.after.word,
+                    "why": change.why,
+                    "evidence": [
+                        {"symptom": one.symptom, "value": round(one.value, 4), "bound": one.bound}
+                        for one in change.evidence
+                    ],
+                }
+                for change in changes
+            ],
+            "changesInHour": ladder.changes_in_hour,
+            "changesMost": ladder.budget,
+        }
+        if self._pin is not None:
+            status["pinnedUntil"] = timestamp(self._pin_until)
+        return {
+            "apiVersion": API_VERSION,
+            "kind": "Level",
+            "metadata": {
+                "name": self._name,
+                "uid": f"level-{self._name}",
+                "resourceVersion": "",
+                "generation": self._generation,
+                "creationTimestamp": timestamp(self._created_at)[:19] + "Z",
+            },
+            "spec": {} if self._pin is None else {"pin": self._pin},
+            "status": status,
+        }
--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -14,9 +14,11 @@
 from kelpfront.api.decode import FieldValidation, decode
 from kelpfront.api.errors import ApiError, Cause, conflict, invalid
 from kelpfront.api.jobs import JOB_INPUT, JobInput, JobSpec
+from kelpfront.api.levels import LEVEL_INPUT
 from kelpfront.api.machines import MACHINE_INPUT
 from kelpfront.api.meta import (
     JOBS,
+    LEVELS,
     MACHINES,
     Object,
     ObjectMeta,
@@ -27,9 +29,11 @@
 )
 from kelpfront.api.patch import merge_patch
 from kelpfront.api.selectors import Selector
+from kelpfront.levels import Level
 from kelpfront.placer.heart import Heart
 from kelpfront.placer.intake import Arrival, asked_at, behind, refusal
 from kelpfront.store import ResourceStore, Stored
+from kelpfront.units import parse_duration
 
 NAME_ALPHABET = "bcdfghjklmnpqrstvwxz2456789"
 
@@ -52,12 +56,12 @@
         self.starting = False  # what runs is not known yet
         self.first_tries = self.retries = 0  # submissions that came in, by their clients' marks
 
-    def count_try(self, attempt: str) -> None:
-        """A submission came in, with the number of the try as its client marks it; none is a first."""
-        if attempt.isascii() and attempt.isdigit() and int(attempt[:9]) > 0:
-            self.retries += 1
-        else:
-            self.first_tries += 1
+    def count_try(self, attempt: str) -> bool:
+        """A submission came in, with the number of the try as its client marks it. Whether it is a repeat."""
+        again = attempt.isascii() and attempt.isdigit() and int(attempt[:9]) > 0
+        self.retries += again
+        self.first_tries += not again
+        return again
 
     @property
     def store(self) -> ResourceStore:
@@ -87,10 +91,13 @@
         received_at: float,
         sent_at: float | None = None,
         validation: FieldValidation = "Strict",
+        *,
+        again: bool = False,
     ) -> Written:
         """Takes a job, or finds the one that the same client token made before.
 
-        `received_at` is when its request came in, `sent_at` when its client says that it sent it.
+        `received_at` is when its request came in, `sent_at` when its client says that it sent it; `again`
+        whether it asked before and was told to come back.
         """
         self._check_namespace(namespace)
         job, warnings = decode(JOB_INPUT, JOBS, data, validation)
@@ -108,6 +115,7 @@
         now = self._now()
         arrival = Arrival(now, received_at, sent_at, self._heart.patience_ms(spec))
         if why := refusal(arrival, self._heart.pending, self._heart.cluster.settings.tick_ms):
+            self._heart.turned_away(now, spec.count, again)
             raise ApiError(503, why, retry_after_s=1)
         stored = self._heart.submit(
             now,
@@ -117,6 +125,7 @@
             job.metadata.labels or {},
             job.metadata.annotations or {},
             asked_at(arrival),
+            again=again,
         )
         return Written(stored, True, warnings)
 
@@ -228,6 +237,28 @@
             self._heart.cordon(self._now(), stored.name, machine.spec.unschedulable), False, warnings
         )
 
+    # ---- Levels ---------------------------------------------------------------------------------------
+
+    def replace_level(self, name: str, data: Object, validation: FieldValidation = "Strict") -> Written:
+        stored = self.store.get(LEVELS, ("", name))
+        return self._write_level(stored, data, validation)
+
+    def patch_level(self, name: str, patch: Any, validation: FieldValidation = "Strict") -> Written:
+        stored = self.store.get(LEVELS, ("", name))
+        return self._write_level(stored, self._patched(LEVELS, stored, patch), validation)
+
+    def _write_level(self, stored: Stored, data: Object, validation: FieldValidation) -> Written:
+        """Only the pin is the API's to change; one that is written as it stands is left."""
+        level, warnings = decode(LEVEL_INPUT, LEVELS, data, validation)
+        self._check_metadata(LEVELS, level.metadata, "", stored.name)
+        self.store.check_revision(LEVELS, stored, level.metadata.resource_version)
+        pin = level.spec.pin
+        if (None if pin is None else pin.model_dump(by_alias=True)) == stored.body["spec"].get("pin"):
+            return Written(stored, False, warnings)
+        its = None if pin is None else Level.of(pin.level)
+        for_ms = 0.0 if pin is None else parse_duration(pin.for_)
+        return Written(self._heart.pin_level(self._now(), its, for_ms), False, warnings)
+
     # ---- Both -----------------------------------------------------------------------------------------
 
     @staticmethod
--- a/kelpfront/placer/tasks.py
+++ b/kelpfront/placer/tasks.py
@@ -174,6 +174,7 @@
     cls: int
     patience_ms: float
     generation: int = 1
+    possible: bool = True  # whether any machine of the inventory could run a task of it
     next_index: int = 0
     tasks: dict[int, Task] = field(default_factory=dict)
     counts: Counter[TaskState] = field(default_factory=Counter)
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -7,16 +7,18 @@
 import math
 import random
 import signal
+import time
 import uuid
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import psutil
 import structlog
 
 from kelpfront.api.errors import ApiError
 from kelpfront.clock import CommonClock
-from kelpfront.config import Config, build_cluster
+from kelpfront.config import Config, build_cluster, build_levels
 from kelpfront.fronts.rest import Health, RestFront, WatchTimes, error_body
 from kelpfront.http.client import HttpError
 from kelpfront.http.pacing import Turns
@@ -76,6 +78,8 @@
             chance.getrandbits(48),
             lambda: self._uid(chance),
             PlacerLimits(limits.open_tasks, limits.jobs, limits.finished_jobs),
+            levels=build_levels(config),
+            stopwatch=lambda: time.perf_counter() * 1000.0,
         )
         self.heart.verbose = config.log.level == "debug"
         self.operations = Operations(self.heart, self.clock.now, chance)
@@ -121,6 +125,7 @@
         self._worked = asyncio.Event()
         self._armed: asyncio.TimerHandle | None = None
         self._armed_at = math.inf
+        self._process = psutil.Process()
         self._stopping = False
         self._stopped = asyncio.Event()
 
@@ -190,6 +195,7 @@
         log.info("placer stops", open_tasks=self.heart.open_tasks)
         longest_s = max(longest, self.heart.longest_patience_ms(self.clock.now())) / 1000.0
         await self._until(lambda: not self.heart.open_tasks, longest_s + STOP_SLACK_S)
+        self.heart.flush(self.clock.now())
         self.front.end_watches()
         if self.grpc is not None:
             self.grpc.end_streams()
@@ -268,7 +274,7 @@
         self._work_due = False
         self._worked.set()
         heart = self.heart
-        heart.flush(self.clock.now())
+        heart.show_due(self.clock.now())
         for intent in heart.take_intents():
             match intent:
                 case SendOffer(host):
@@ -326,7 +332,9 @@
     def _tick(self) -> None:
         now = self.clock.now()
         if self._armed_at > -math.inf:
-            self._latest_ms = max(self._latest_ms, now - self._armed_at)
+            late_ms = now - self._armed_at
+            self._latest_ms = max(self._latest_ms, late_ms)
+            self.heart.levelling.sight.late(late_ms)
         self._armed, self._armed_at = None, math.inf
         self.heart.advance(now)
         self._work()  # at once: what is due now may be an answer
@@ -340,6 +348,9 @@
         while True:
             await asyncio.sleep(LAG_LOOK_S)
             self.lag_ms, self._latest_ms = self._latest_ms, 0.0
+            if self.config.levels.memory is not None:
+                used = self._process.memory_info().rss
+                self.heart.levelling.sight.memory_share = used / self.config.levels.memory
             if self.lag_ms > self.heart.cluster.settings.tick_ms:
                 log.warning("timers are late", lag_ms=round(self.lag_ms))
             self._sync_links()
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -76,6 +76,8 @@
             f"{BASE}/namespaces/{{namespace}}/jobs/{{name}}/log",
             f"{BASE}/machines",
             f"{BASE}/machines/{{name}}",
+            f"{BASE}/levels",
+            f"{BASE}/levels/{{name}}",
         }
         spec_schema = document["components"]["schemas"]["JobSpec"]
         assert set(spec_schema["required"]) == {"class", "service", "cores", "memory"}
