lab levels judges levels in virtual time beside none and two textbook schemes

Found by the tests: a class that most machines refuse filled its owner's share of places and so held up the owner's other work; it now counts for itself.

--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -5,13 +5,16 @@
 import asyncio
 import contextlib
 import json
+import os
+import re
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 
 import click
 
-from kelpfront.cli.common import fail
+from kelpfront.cli.common import console, fail, plain_table
 
 
 @click.group()
@@ -260,3 +263,73 @@
         return
     if not placed:
         raise SystemExit(1)
+
+
+@lab.command("levels")
+@click.option(
+    "--script", "scripts", multiple=True, help="A script's name, or demand-N; all scripts if absent."
+)
+@click.option("--scheme", "schemes", multiple=True, type=click.Choice(["levels", "off", "bound", "aimd"]))
+@click.option("--goodput", is_flag=True, help="Demand of 1, 2, 4 and 10 times what the fleet takes.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--processes", default=os.cpu_count() or 1, show_default="one a core", help="Runs at a time.")
+@click.option("--plot", "plot_to", type=click.Path(path_type=Path), help="Draw worth and levels as PNG.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def levels(
+    scripts: tuple[str, ...],
+    schemes: tuple[str, ...],
+    goodput: bool,
+    seed: int,
+    processes: int,
+    plot_to: Path | None,
+    as_json: bool,
+) -> None:
+    """Judge levels of reduced service in virtual time, beside none and two textbook schemes.
+
+    Exit code 1 if a rule was broken, or levels changed more often than the script's limit.
+    """
+    from kelpfront.lab.levels import SCHEMES, plot, run_all
+    from kelpfront.lab.levelscripts import SCRIPTS
+
+    names = list(scripts) or ([] if goodput else list(SCRIPTS))
+    names += [f"demand-{times}" for times in (1, 2, 4, 10)] if goodput else []
+    for name in names:
+        if name not in SCRIPTS and not re.fullmatch(r"demand-[0-9.]+", name):
+            fail(f"--script: {name!r} is not one of {', '.join(SCRIPTS)}, demand-N")
+    chosen = tuple(scheme for scheme in SCHEMES if not schemes or scheme in schemes)
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    results = run_all(names, chosen, seed, say, processes)
+    if plot_to is not None:
+        plot(results, plot_to)
+    for result in results:
+        del result["timeline"]
+    if as_json:
+        click.echo(json.dumps({"results": results}))
+    else:
+        _levels_table(results)
+    if any(one["violations"] or one["changes"] > one["changes_most"] for one in results):
+        raise SystemExit(1)
+
+
+def _levels_table(results: list[dict[str, Any]]) -> None:
+    columns = "SCRIPT SCHEME WORTH PLACED DEAR-IN-AIM DEAR-PLACED REFUSED-SOON CHANGES ENTER-S LEAVE-S BROKEN"
+    table = plain_table(*columns.split())
+    for one in results:
+        table.add_row(
+            one["script"],
+            one["scheme"],
+            str(one["worth"]),
+            f"{one['placed']}/{one['asked']}",
+            f"{one['dear_in_aim']:.1%}",
+            f"{one['dear_placed']:.1%}",
+            f"{one['refused_soon']:.0%}",
+            f"{one['changes']}/{one['changes_most']:g}",
+            " ".join(map(str, one["enter_s"])),
+            " ".join(map(str, one["leave_s"])),
+            str(one["violations"]),
+        )
+    console().print(table)
--- a/kelpfront/levels/bounds.py
+++ b/kelpfront/levels/bounds.py
@@ -115,7 +115,7 @@
         "share",
         Bound(0.80, 0.70),
         Bound(0.90, 0.80),
-        Bound(0.97, 0.90),
+        Bound(0.97, 0.85),
     ),
 )
 
--- a/kelpfront/levels/door.py
+++ b/kelpfront/levels/door.py
@@ -134,8 +134,10 @@
         )
         if ask.cls in stuck:
             pace, ahead = symptoms.class_pace(at, ask.cls), waiting.of_class(ask.cls)
+            line = [ask.cls]
         else:
             pace, ahead = symptoms.pace(at), waiting.ahead_of(ask.cls, stuck)
+            line = [cls for cls in range(len(self._ranks.of)) if cls not in stuck]
         places = self.places(ladder, rank, pace)
         word = ladder.level.word
         if ahead >= places:
@@ -148,8 +150,8 @@
                 f"and {ask.patience_ms / 1000:.1f} s of its patience are left"
             )
             return Turned("CannotBeInTime", text, self._retry(ahead, pace))
-        own, fair = waiting.of_owner(ask.owner), places * self.owners.share(ask.owner)
-        if waiting.total >= FAIR_FROM * places and own >= max(1.0, fair):
+        own, fair = waiting.of_owner(ask.owner, line), places * self.owners.share(ask.owner)
+        if waiting.of_classes(line) >= FAIR_FROM * places and own >= max(1.0, fair):
             text = f"level {word}: {own} tasks of {ask.owner} wait, its share is {fair:.0f} of {places:.0f}"
             return Turned("OwnerOverShare", text, self._retry(own, pace * self.owners.share(ask.owner)))
         return None
--- a/kelpfront/levels/symptoms.py
+++ b/kelpfront/levels/symptoms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 
 from kelpfront.levels.bounds import LEAST_COUNT, WINDOW_MS
 from kelpfront.levels.model import Seen
@@ -100,23 +101,22 @@
     def __init__(self, ranks: Ranks) -> None:
         self._ranks = ranks
         self._by_class = [0] * len(ranks.of)
-        self._by_owner: Counter[str] = Counter()
+        self._by_owner: Counter[tuple[str, int]] = Counter()
 
     def add(self, cls: int, owner: str, count: int) -> None:
         self._by_class[cls] += count
-        self._by_owner[owner] += count
-        if not self._by_owner[owner]:
-            del self._by_owner[owner]
+        self._by_owner[owner, cls] += count
+        if not self._by_owner[owner, cls]:
+            del self._by_owner[owner, cls]
 
     def of_class(self, cls: int) -> int:
         return self._by_class[cls]
 
-    def of_owner(self, owner: str) -> int:
-        return self._by_owner.get(owner, 0)
+    def of_owner(self, owner: str, classes: Iterable[int]) -> int:
+        return sum(self._by_owner.get((owner, cls), 0) for cls in classes)
 
-    @property
-    def total(self) -> int:
-        return sum(self._by_class)
+    def of_classes(self, classes: Iterable[int]) -> int:
+        return sum(self._by_class[cls] for cls in classes)
 
     def ahead_of(self, cls: int, without: frozenset[int] = frozenset()) -> int:
         """Those that go before a new task of a class or beside it, but for some classes."""
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -784,7 +784,7 @@
             self._open_tasks -= 1
             self.levelling.answered(now, task, state)
         task.move(now, state)
-        self._showing.job(task.job)
+        self._showing.answered(task.job)
 
     def _check_finished(self, now: float, job: Job) -> None:
         if job.deleted or job.phase is not Phase.FINISHED:
@@ -996,8 +996,7 @@
 
     def show_due(self, now: float) -> None:
         """As `flush`, no more often than the present level of service has it."""
-        if now >= self._showing.due_at(self.levelling.measures.flush_ms):
-            self._showing.flush(now)
+        self._showing.flush_due(now, self.levelling.measures.flush_ms)
 
     def take_intents(self) -> list[Intent]:
         intents, self._intents = self._intents, []
--- a/kelpfront/placer/showing.py
+++ b/kelpfront/placer/showing.py
@@ -16,6 +16,7 @@
     def __init__(self, store: ResourceStore, directory: Directory) -> None:
         self._store, self._directory = store, directory
         self._jobs: dict[Job, None] = {}
+        self._answered: dict[Job, None] = {}  # of them, those with an answer that nobody has seen yet
         self._machines: dict[Entry, None] = {}
         self._shown_at = -math.inf
 
@@ -23,15 +24,22 @@
         """The job has changed."""
         self._jobs[job] = None
 
+    def answered(self, job: Job) -> None:
+        """A task of the job has its answer. It is shown at once at every level: an owner waits for it."""
+        self._jobs[job] = self._answered[job] = None
+
     def machine(self, entry: Entry) -> None:
         self._machines[entry] = None
 
     def drop_job(self, job: Job) -> None:
         """The job is gone, or was shown otherwise."""
         self._jobs.pop(job, None)
+        self._answered.pop(job, None)
 
     def due_at(self, period_ms: float) -> float:
         """When changes are to be shown, if that is done at most once in a period; infinity without any."""
+        if self._answered:
+            return -math.inf
         if not self._jobs and not self._machines:
             return math.inf
         return self._shown_at + period_ms
@@ -42,11 +50,23 @@
             if not job.deleted:
                 self.show_job(job)
         self._jobs.clear()
+        self._answered.clear()
         for entry in self._machines:
             self._show_machine(now, entry)
         self._machines.clear()
         self._shown_at = now
 
+    def flush_due(self, now: float, period_ms: float) -> None:
+        """Shows answers, and all else where the period is over."""
+        if now >= self._shown_at + period_ms:
+            self.flush(now)
+            return
+        for job in self._answered:
+            self._jobs.pop(job, None)
+            if not job.deleted:
+                self.show_job(job)
+        self._answered.clear()
+
     def show_job(self, job: Job) -> None:
         self._store.update(JOBS, job.key, job.render(), 1 + len(job.tasks))
 
