--- a/kelpfront/lab/levels.py
+++ b/kelpfront/lab/levels.py
@@ -40,6 +40,7 @@
 RETRIES = 4  # of one task, after refusals
 RETRY_WITHIN_MS = 45_000.0  # of when it was first asked for
 MIX = {"batch": 0.5, "web": 0.28, "ingest": 0.12, "blend": 0.10}
+LAST_MS = 15_000.0  # past the last retry, until each has its answer
 QUEUE_BOUND = 60  # of the fixed scheme: about three seconds of what the fleet takes
 GOODPUT_S = 300.0
 SOON = 0.1  # of its patience: a refusal before that cost its owner little
@@ -241,7 +242,7 @@
             self.world.at(START_MS + fault.at_s * 1000.0, lambda fault=fault: self._strike(fault))  # type: ignore[misc]
         self.world.at(START_MS + warm_up, self._next)
         self.world.at(START_MS, self._look)
-        self.world.run(START_MS + self.script.seconds * 1000.0 + 20_000.0)
+        self.world.run(START_MS + self.script.seconds * 1000.0 + RETRY_WITHIN_MS + LAST_MS)
         return self._figures()
 
     # ---- Owners ---------------------------------------------------------------------------------------
