--- a/tests/test_levels_service.py
+++ b/tests/test_levels_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+from datetime import datetime
 from typing import Any
 
 import pytest
@@ -204,3 +205,56 @@
         assert "memory" in shown(service)["status"]["why"]
     governor = service.heart.levelling.governor
     assert governor.symptoms.readings(governor.at, Seen(lag_ms=300.0))["lag"] == 300.0
+
+
+async def test_under_a_flood_drains_hold_and_what_was_taken_is_answered_in_time() -> None:
+    """Jobs, watches and connections that break, far more than the placer can look at, while one drains."""
+    async with cluster(4, "limits.open_tasks=400") as (its, service, client):
+        host, port = "127.0.0.1", service.http.port
+        flooding = True
+        taken: list[str] = []
+        turned = 0
+
+        async def flood(number: int) -> None:
+            nonlocal turned
+            count = 0
+            while flooding:
+                count += 1
+                name = f"f{number}-{count}"
+                try:
+                    await client.submit("climate", spec(cores=0.5, patience="4s"), name=name)
+                    taken.append(name)
+                except ApiError as error:
+                    assert error.code in (429, 503), error
+                    turned += 1
+                await asyncio.sleep(0)
+
+        async def break_off() -> None:
+            while flooding:
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(f"GET {BASE}/jobs?watch=true HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+                await reader.read(100)
+                writer.transport.abort()
+                await asyncio.sleep(0.005)
+
+        work = [asyncio.create_task(flood(number)) for number in range(40)]
+        work += [asyncio.create_task(break_off()) for _ in range(4)]
+        await asyncio.sleep(3.0)
+        its.fleet.machines["n0"].drain(True)
+        await asyncio.sleep(3.0)
+        flooding = False
+        await asyncio.gather(*work)
+        assert taken and turned
+        await until(lambda: service.heart.open_tasks == 0)
+        told_at = its.events("told", machine="n0", state="draining")[0]["t"]
+        late = [o for o in its.events("offer", machine="n0") if o["t"] > told_at + 500.0]
+        assert late == []
+        for name in taken:
+            task = service.store.get(JOBS, ("climate", name)).body["status"]["tasks"][0]
+            assert task.get("answer"), name
+            waited = _ms(task["answeredAt"]) - _ms(task["createdAt"])
+            assert waited <= 4000.0 + 8.0, (name, waited)
+
+
+def _ms(stamp: str) -> float:
+    return datetime.fromisoformat(stamp.replace("Z", "+00:00")).timestamp() * 1000.0
