--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -10,12 +10,15 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from kelpfront.cli.common import console, fail, plain_table
 
+if TYPE_CHECKING:
+    from kelpfront.lab.timeline.script import Day
+
 
 @click.group()
 def lab() -> None:
@@ -333,3 +336,113 @@
             str(one["violations"]),
         )
     console().print(table)
+
+
+# ---- Virtual time -----------------------------------------------------------------------------------------
+
+
+def _read_day(name: str) -> Day:
+    """A day of the laboratory's own by name, or of a file."""
+    from kelpfront.lab.timeline.script import ScriptError, read_day
+
+    own = Path(__file__).parent.parent / "lab" / "days" / f"{name}.yaml"
+    path = own if "/" not in name and own.exists() else Path(name)
+    try:
+        return read_day(path.read_text(encoding="utf-8"), str(name))
+    except OSError as error:
+        fail(f"{name}: {error.strerror}; a file, or one of {', '.join(_own_days())}")
+    except UnicodeDecodeError as error:
+        fail(f"{name}: is not UTF-8: {error.reason}")
+    except ScriptError as error:
+        fail(str(error))
+
+
+def _own_days() -> list[str]:
+    return sorted(path.stem for path in (Path(__file__).parent.parent / "lab" / "days").glob("*.yaml"))
+
+
+@lab.command("emulate")
+@click.argument("day")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--log", is_flag=True, help="Show what the program logs, with virtual seconds.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def emulate_day(day: str, seed: int, log: bool, as_json: bool) -> None:
+    """Play a day in virtual time: real placers, machines and clients on a network in memory.
+
+    DAY is a file, or one of the laboratory's own: bad, calm, partition, rolling, room, silent. The same day
+    and seed give the same digest on every machine. Exit code 1 if a rule was broken.
+    """
+    from kelpfront.lab.timeline.emulation import emulate
+
+    def show(line: dict[str, Any]) -> None:
+        click.echo(json.dumps(line), err=True)
+
+    figures = emulate(_read_day(day), seed, show if log else None)
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    if figures["violations"] or figures["reached_outside"]:
+        raise SystemExit(1)
+
+
+@lab.group("script")
+def script() -> None:
+    """Days for `lab emulate`: YAML files."""
+
+
+@script.command("check")
+@click.argument("files", nargs=-1, required=True)
+def check_script(files: tuple[str, ...]) -> None:
+    """Check days without playing them; every problem is named with its place."""
+    for name in files:
+        day = _read_day(name)
+        its = day.script
+        click.echo(
+            f"{name}: {its.seconds:g} s, {its.machines} machines, {its.placers} placers, "
+            f"{len(its.faults)} faults, {len(its.kills)} kills, {len(its.partitions)} partitions"
+        )
+
+
+@script.command("schema")
+def script_schema() -> None:
+    """Print the JSON schema of a day, for editors."""
+    from kelpfront.lab.timeline.script import schema
+
+    click.echo(json.dumps(schema(), indent=2))
+
+
+@lab.command("search")
+@click.option("--runs", default=100, show_default=True, help="Random days, one a seed.")
+@click.option("--seed", default=1, show_default=True, help="The first.")
+@click.option("--wrong", default="", help="Search with a placer that is wrong on purpose, by its name.")
+@click.option("--processes", default=os.cpu_count() or 1, show_default="one a core")
+@click.option("--most", default=5, show_default=True, help="Stop at so many days that break a rule.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Write these days, made small, to a folder.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def search_days(
+    runs: int, seed: int, wrong: str, processes: int, most: int, keep: Path | None, as_json: bool
+) -> None:
+    """Play random days in virtual time and judge each by the rules; what fails is made small.
+
+    Exit code 1 if a day broke a rule.
+    """
+    from kelpfront.lab.timeline.search import keep as keep_day
+    from kelpfront.lab.timeline.search import search
+    from kelpfront.lab.wrongplacers import WRONG
+
+    if wrong and wrong not in WRONG:
+        fail(f"--wrong: {wrong!r} is not one of {', '.join(WRONG)}")
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    done, found = search(seed, runs, wrong, processes, most, say)
+    for one in found:
+        if keep is not None:
+            click.echo(f"kept as {keep_day(one, keep)}", err=True)
+    days = [
+        {"seed": one.seed, "rule": one.rule, "example": one.example, "shrunk_in": one.runs, "day": one.data}
+        for one in found
+    ]
+    click.echo(json.dumps({"runs": done, "found": days}, indent=None if as_json else 2))
+    if found:
+        raise SystemExit(1)
--- a/kelpfront/client/client.py
+++ b/kelpfront/client/client.py
@@ -34,7 +34,15 @@
     answer at all.
     """
 
-    def __init__(self, url: str, *, request_s: float = 30.0, seed: int | None = None) -> None:
+    def __init__(
+        self,
+        url: str,
+        *,
+        request_s: float = 30.0,
+        seed: int | None = None,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        """`wall` tells seconds since the epoch: requests say when they were sent."""
         parts = urlsplit(url)
         if parts.scheme != "http" or not parts.hostname:
             raise ValueError(f"{url!r} is not http://HOST:PORT")
@@ -43,6 +51,7 @@
         self._path = parts.path.rstrip("/")
         self._request_s = request_s
         self._rng = random.Random(seed)
+        self._wall = wall
         self._pool = HttpPool(self._host, self._port, CONNECTIONS, CONNECT_S)
 
     async def __aenter__(self) -> Client:
@@ -271,7 +280,7 @@
         if raw:
             its_headers.append(("content-type", content_type))
             if headers is None:
-                its_headers.append(sent_at_header())
+                its_headers.append(sent_at_header(self._wall))
         reply = await self._exchange(method, self._path + path, raw, tuple(its_headers), timeout_s)
         data = _decoded(reply.body)
         if reply.status >= 400:
@@ -305,9 +314,9 @@
             raise ServerUnreachableError(f"no answer within {within_s:.3g} s", sent) from None
 
 
-def sent_at_header() -> tuple[str, str]:
+def sent_at_header(wall: Callable[[], float] = time.time) -> tuple[str, str]:
     """Says when a request was sent: its patience counts from there, not from when the placer reads it."""
-    return "kelpfront-sent-at", f"{time.time() * 1000:.3f}"
+    return "kelpfront-sent-at", f"{wall() * 1000:.3f}"
 
 
 def _selectors(labels: str, fields: str) -> dict[str, str]:
--- a/kelpfront/http/client.py
+++ b/kelpfront/http/client.py
@@ -186,7 +186,7 @@
         self._connect_s, self._idle_s = connect_s, idle_s
         self._turns = asyncio.Semaphore(most)
         self._idle: deque[HttpConnection] = deque()
-        self._lent: set[HttpConnection] = set()
+        self._lent: dict[HttpConnection, None] = {}
         self.closed = False
 
     @property
@@ -212,7 +212,7 @@
             self._turns.release()
             connection.abort()
             raise NotSentError(f"{self._host}:{self._port}: the pool is closed")
-        self._lent.add(connection)
+        self._lent[connection] = None
         return connection
 
     def _reuse(self) -> HttpConnection | None:
@@ -226,7 +226,7 @@
         return None
 
     def release(self, connection: HttpConnection) -> None:
-        self._lent.discard(connection)
+        self._lent.pop(connection, None)
         if connection.usable and not self.closed:
             self._idle.append(connection)
         else:
--- a/kelpfront/http/pacing.py
+++ b/kelpfront/http/pacing.py
@@ -27,7 +27,7 @@
 
     def __init__(self, slice_s: float = SLICE_S, clock: Callable[[], float] = time.perf_counter) -> None:
         self._slice = self._left = slice_s
-        self._clock = clock
+        self.clock = clock
         self._average = slice_s / 10
         self._line: deque[tuple[float, asyncio.Future[None]]] = deque()
         self._armed = False
@@ -40,7 +40,7 @@
         if self._left > 0 and not self._line:
             return
         turn = asyncio.get_running_loop().create_future()
-        self._line.append((self._clock(), turn))
+        self._line.append((self.clock(), turn))
         self._arm()
         await turn  # one that is cancelled meanwhile is passed over when its turn comes
 
@@ -58,7 +58,7 @@
         self._armed = False
         self._left = self._slice
         fits = max(1, int(self._slice / max(self._average, 1e-6)))
-        now = self._clock()
+        now = self.clock()
         for turn in self._choose(now, fits):
             turn.set_result(None)
         if self._line:
--- a/kelpfront/http/server.py
+++ b/kelpfront/http/server.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -292,7 +291,7 @@
     def _tell_turns(self) -> None:
         """What the present request took of its turn so far."""
         if self._turns is not None and self._began:
-            self._turns.spent(time.perf_counter() - self._began)
+            self._turns.spent(self._turns.clock() - self._began)
             self._began = 0.0
 
     def _next(self) -> object:
@@ -314,7 +313,7 @@
             received_at = self._loop.time()
             if self._turns is not None:
                 await self._turns.enter()
-                self._began = time.perf_counter()
+                self._began = self._turns.clock()
             event = self._next()
         else:
             received_at = self._loop.time()
--- /dev/null
+++ b/kelpfront/lab/timeline/search.py
@@ -0,0 +1,225 @@
+"""Swarm search: random short days on many seeds, each judged by the rules; what fails is made small and kept.
+
+Each day turns on a few kinds of trouble and leaves the others out: days that have everything hide what only
+shows where something is missing. A day that fails is shrunk to the least that still breaks the same rule.
+"""
+
+from __future__ import annotations
+
+import copy
+import multiprocessing
+import random
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from kelpfront.lab.timeline.emulation import emulate
+from kelpfront.lab.timeline.script import Day, DayScript
+from kelpfront.lab.wrongplacers import WRONG
+from kelpfront.placer.heart import Heart
+
+SHRINKS_MOST = 60  # runs spent on making one day small
+SPREAD = "apart = machine\ntogether = 2"
+
+SETTINGS = """
+[cluster]
+accepts_cores = 2.0
+accepts_memory = 1.5
+[rules]
+cold_from = 0.25
+cold_for = 10 s
+cold_multiple = 2.5
+cold_window = 2 s
+cold_offers = 12
+[kind small]
+cores = 16
+memory = 32
+[class web]
+effect = safe
+aim = 1 s
+deadline = 3 s
+apart = machine
+together = 3
+[class ingest]
+effect = keyed
+group = room
+window = 3 s
+aim = 700 ms
+deadline = 4 s
+priority = 2
+[class blend]
+effect = unsafe
+aim = 600 ms
+deadline = 4 s
+priority = 2
+"""
+KINDS = ("crash", "silence", "late", "reset", "drain", "class-fail", "class-full", "list-lag")
+
+
+def random_day(seed: int) -> dict[str, Any]:
+    """The data of a day's script; the same seed gives the same."""
+    rng = random.Random(f"search/{seed}")
+    seconds = rng.choice([12.0, 16.0, 20.0])
+    machines = rng.randint(3, 8)
+    placers = rng.randint(1, 2)
+
+    def when() -> dict[str, float]:
+        return {"at": round(rng.uniform(1, seconds * 0.7), 2), "lasts": round(rng.uniform(0.5, 5), 2)}
+
+    faults = []
+    for kind in rng.sample(KINDS, rng.randint(1, 4)):
+        fault: dict[str, Any] = {"kind": kind, **when(), "share": round(rng.uniform(0.2, 1.0), 2)}
+        if kind in ("class-fail", "class-full"):
+            fault["class"] = rng.choice(["web", "ingest", "blend"])
+        if kind == "class-fail":
+            fault |= {"how": rng.choice(["error", "silence"]), "value": round(rng.uniform(0.3, 1.0), 2)}
+        elif kind == "class-full":
+            fault["value"] = round(rng.uniform(0.0, 2.0), 2)
+        elif kind == "late":
+            fault["value"] = round(rng.uniform(200, 2_500))
+        elif kind == "list-lag":
+            fault["value"] = round(rng.uniform(500, 4_000))
+        elif kind == "reset":
+            fault["value"] = round(rng.uniform(0.2, 1.0), 2)
+        faults.append(fault)
+    day: dict[str, Any] = {
+        "name": f"search-{seed}",
+        "seconds": seconds,
+        "settle": 12.0,
+        "machines": machines,
+        "placers": placers,
+        "rooms": ["hall-a", "hall-b"],
+        "rate": round(rng.uniform(4, 30), 1),
+        "life_ms": round(rng.uniform(500, 6_000)),
+        "start_ms": round(rng.uniform(30, 300)),
+        "services": rng.randint(1, 3),
+        "settings": SETTINGS,
+        "faults": faults,
+    }
+    if rng.random() < 0.3:
+        day["kills"] = [{"placer": rng.randrange(placers), **when()}]
+    if rng.random() < 0.4:
+        ways: list[list[str]] = [["p0"], [rng.choice(["room:hall-a", "room:hall-b"])]]
+        rng.shuffle(ways)
+        day["partitions"] = [{**when(), "between": ways, "one_way": rng.random() < 0.5}]
+    if rng.random() < 0.4:
+        day["demand"] = [{"at": round(seconds * 0.4), "times": round(rng.uniform(1.5, 6), 1)}]
+    return day
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A day that broke a rule."""
+
+    seed: int
+    rule: str
+    example: str
+    data: dict[str, Any]
+    runs: int  # that shrinking took
+
+
+def broken_rules(data: dict[str, Any], seed: int, heart_class: type[Heart] = Heart) -> dict[str, str]:
+    """Rules that a day breaks, with an example each; a run that reaches outside breaks `virtual-time`."""
+    figures = emulate(Day(DayScript.model_validate(data)), seed, heart_class=heart_class)
+    found: dict[str, str] = {}
+    for example in figures["examples"]:
+        found.setdefault(example.partition(":")[0], example)
+    for rule, count in figures["by_rule"].items():
+        if count:
+            found.setdefault(rule, f"{rule}: {count} times")
+    if figures["reached_outside"]:
+        found["virtual-time"] = figures["reached_outside"][0]
+    return found
+
+
+def shrink(
+    data: dict[str, Any], seed: int, rule: str, heart_class: type[Heart] = Heart, most: int = SHRINKS_MOST
+) -> tuple[dict[str, Any], int]:
+    """The least day that still breaks the rule, of those that one step at a time leads to."""
+    runs = 0
+    smaller = True
+    while smaller and runs < most:
+        smaller = False
+        for candidate in _smaller(data):
+            if runs >= most:
+                break
+            runs += 1
+            if rule in broken_rules(candidate, seed, heart_class):
+                data, smaller = candidate, True
+                break
+    return data, runs
+
+
+def _smaller(data: dict[str, Any]) -> Iterator[dict[str, Any]]:
+    for name in ("faults", "kills", "partitions", "demand"):
+        for number in range(len(data.get(name, ()))):
+            candidate = copy.deepcopy(data)
+            del candidate[name][number]
+            if not candidate[name]:
+                del candidate[name]
+            yield candidate
+    for name, least in (("seconds", 3.0), ("rate", 1.0), ("machines", 2), ("placers", 1), ("services", 1)):
+        value = data[name]
+        half = type(value)(max(least, value / 2 if isinstance(value, float) else value // 2))
+        if half < value and not (name == "placers" and data.get("kills")):
+            yield {**copy.deepcopy(data), name: half}
+
+
+def look(seed: int, wrong: str = "", shrinking: bool = True) -> Found | None:
+    """One day of the search; None where it breaks nothing."""
+    heart_class = WRONG[wrong] if wrong else Heart
+    data = random_day(seed)
+    rules = broken_rules(data, seed, heart_class)
+    if not rules:
+        return None
+    rule, example = next(iter(sorted(rules.items())))
+    runs = 0
+    if shrinking:
+        data, runs = shrink(data, seed, rule, heart_class)
+    return Found(seed, rule, example, data, runs)
+
+
+def search(
+    first: int,
+    runs: int,
+    wrong: str = "",
+    processes: int = 1,
+    stop_at: int = 5,
+    say: Callable[[str], None] = lambda text: None,
+) -> tuple[int, list[Found]]:
+    """How many days were run, and those that broke a rule, at most `stop_at`, in the order of their seeds."""
+    found: list[Found] = []
+    if processes <= 1:
+        for done in range(runs):
+            one = look(first + done, wrong)
+            if one is not None:
+                found.append(one)
+                say(f"seed {one.seed}: {one.example}")
+                if len(found) >= stop_at:
+                    return done + 1, found
+        return runs, found
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(processes, mp_context=context) as pool:
+        futures = [pool.submit(look, first + number, wrong) for number in range(runs)]
+        for done, future in enumerate(futures, 1):
+            one = future.result()
+            if one is not None:
+                found.append(one)
+                say(f"seed {one.seed}: {one.example}")
+                if len(found) >= stop_at:
+                    pool.shutdown(wait=False, cancel_futures=True)
+                    return done, found
+    return runs, found
+
+
+def keep(found: Found, folder: Path) -> Path:
+    """Writes a day that broke a rule as a script, with the seed that it needs."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{found.rule}-{found.seed}.yaml"
+    data = {**found.data, "about": f"Seed {found.seed}. {found.example}"}
+    path.write_text(yaml.safe_dump(data, sort_keys=False, allow_unicode=True), encoding="utf-8")
+    return path
--- a/kelpfront/levels/bounds.py
+++ b/kelpfront/levels/bounds.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from kelpfront.levels.model import Level
@@ -77,12 +78,20 @@
         Bound(0.10, 0.04),
         Bound(0.40, 0.20),
     ),
+    # Raises nothing, and holds care while those that were turned away still come back: to open the door to
+    # all of them at once would begin the next overload.
+    Symptom(
+        "turned-away",
+        "share of all that is asked, repeats too, that is turned away",
+        "share",
+        careful=Bound(math.inf, 0.05),
+    ),
     Symptom(
         "dear-late",
         "share of the essential tasks answered that did not start within their aim",
         "share",
-        Bound(0.15, 0.06),
-        Bound(0.30, 0.12),
+        Bound(0.20, 0.10),
+        Bound(0.35, 0.15),
     ),
     Symptom(
         "refused-class",
--- a/kelpfront/levels/governor.py
+++ b/kelpfront/levels/governor.py
@@ -110,6 +110,7 @@
         if not self.settings.enabled:
             return None
         turned = self.door.weigh(at, ask, self.ladder, self.symptoms, self.waiting)
+        self.symptoms.weighed(at, ask.count, turned is not None)
         if turned is not None:
             self.turned[turned.reason] = self.turned.get(turned.reason, 0) + 1
         return turned
--- a/kelpfront/levels/symptoms.py
+++ b/kelpfront/levels/symptoms.py
@@ -27,6 +27,12 @@
         """Tasks were asked for, for the first time; whether they were taken makes no difference."""
         self._window.add(at, "asked", count)
 
+    def weighed(self, at: float, count: int, turned: bool) -> None:
+        """A job came to the door, for the first time or again."""
+        self._window.add(at, "weighed", count)
+        if turned:
+            self._window.add(at, "turned", count)
+
     def placed(self, at: float, cls: int, waited_share: float, in_aim: bool) -> None:
         self._pace.add(at, "placed")
         self._pace.add(at, ("placed", cls))
@@ -81,6 +87,7 @@
             "silent": silent / ready if ready else 0.0,
             "list-age": seen.list_age_ms,
             "unserved": max(0.0, 1.0 - placed / asked) if asked >= LEAST_COUNT else 0.0,
+            "turned-away": self._share("turned", "weighed"),
             "dear-late": self._share("dear-late", "dear"),
             "refused-class": max((self.refused_share(cls) for cls in classes), default=0.0),
             "waits": self._share("waited", "answered"),
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -56,7 +56,9 @@
         clock: CommonClock | None = None,
         heart_class: type[Heart] = Heart,
         times: WatchTimes | None = None,
+        stopwatch: Callable[[], float] = time.perf_counter,
     ) -> None:
+        """`stopwatch` tells seconds of the process's own time, for what work costs."""
         self.config = config
         self.clock = clock or CommonClock()
         chance = random.Random(seed if seed is not None else config.placer.seed)
@@ -79,13 +81,13 @@
             lambda: self._uid(chance),
             PlacerLimits(limits.open_tasks, limits.jobs, limits.finished_jobs),
             levels=build_levels(config),
-            stopwatch=lambda: time.perf_counter() * 1000.0,
+            stopwatch=lambda: stopwatch() * 1000.0,
         )
         self.heart.verbose = config.log.level == "debug"
         self.operations = Operations(self.heart, self.clock.now, chance)
         self.operations.closed, self.operations.starting = STARTING, True
         self.front = RestFront(self.operations, self._common_time, self.health, chance, times, self._read_log)
-        turns = Turns()  # of both fronts together
+        turns = Turns(clock=stopwatch)  # of both fronts together
         self.http = HttpServer(
             self.front.handle,
             HttpLimits(
@@ -120,12 +122,12 @@
         self._latest_ms = 0.0
         self._chance = chance
         self._inventory = inventory
-        self._jobs: set[asyncio.Task[None]] = set()
+        self._jobs: dict[asyncio.Task[None], None] = {}  # in the order in which they began
         self._work_due = False
         self._worked = asyncio.Event()
         self._armed: asyncio.TimerHandle | None = None
         self._armed_at = math.inf
-        self._process = psutil.Process()
+        self._process = None if config.levels.memory is None else psutil.Process()
         self._stopping = False
         self._stopped = asyncio.Event()
 
@@ -163,11 +165,11 @@
 
     def _spawn(self, coroutine: object) -> None:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
-        self._jobs.add(task)
+        self._jobs[task] = None
         task.add_done_callback(self._ended)
 
     def _ended(self, task: asyncio.Task[None]) -> None:
-        self._jobs.discard(task)
+        self._jobs.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             log.error("a background job failed", exc_info=task.exception())
 
@@ -348,7 +350,7 @@
         while True:
             await asyncio.sleep(LAG_LOOK_S)
             self.lag_ms, self._latest_ms = self._latest_ms, 0.0
-            if self.config.levels.memory is not None:
+            if self.config.levels.memory is not None and self._process is not None:
                 used = self._process.memory_info().rss
                 self.heart.levelling.sight.memory_share = used / self.config.levels.memory
             if self.lag_ms > self.heart.cluster.settings.tick_ms:
--- a/kelpfront/service/grpclinks.py
+++ b/kelpfront/service/grpclinks.py
@@ -76,13 +76,13 @@
         self._probes: dict[int, float] = {}
         self._probe_number = 0
         self._log_turns = asyncio.Semaphore(LOGS_AT_ONCE)
-        self._jobs: set[asyncio.Task[None]] = set()
+        self._jobs: dict[asyncio.Task[None], None] = {}  # in the order in which they began
         self._spawn(self._follow())
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
-        self._jobs.add(task)
-        task.add_done_callback(self._jobs.discard)
+        self._jobs[task] = None
+        task.add_done_callback(self._jobs.pop)
         return task
 
     async def close(self) -> None:
--- a/kelpfront/service/links.py
+++ b/kelpfront/service/links.py
@@ -97,7 +97,7 @@
         connect_s = heart.cluster.settings.connect_timeout_ms / 1000.0
         self._pool = HttpPool(self._name, self._port, CONNECTIONS, connect_s)
         self._offers: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self._jobs: set[asyncio.Task[None]] = set()
+        self._jobs: dict[asyncio.Task[None], None] = {}  # in the order in which they began
         self._log_turns = asyncio.Semaphore(LOGS_AT_ONCE)
         self._stop_turns = asyncio.Semaphore(STOPS_AT_ONCE)
         self._backoff = Backoff(rng)
@@ -106,8 +106,8 @@
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
-        self._jobs.add(task)
-        task.add_done_callback(self._jobs.discard)
+        self._jobs[task] = None
+        task.add_done_callback(self._jobs.pop)
         return task
 
     async def close(self) -> None:
