--- a/kelpfront/lab/levels.py
+++ b/kelpfront/lab/levels.py
@@ -545,7 +545,7 @@
     bars.set_xticks([x + 0.4 - width / 2 for x in range(len(names))], names, rotation=20, fontsize=7)
     bars.set_ylim(0.5, 1.02)
     bars.set_ylabel("worth, of the best")
-    bars.legend(fontsize=7, ncols=len(schemes))
+    bars.legend(fontsize=7, ncols=len(schemes), loc="lower right")
     shades = {"careful": "#f6e7b0", "recovering": "#cfe8cf", "essential": "#f4c4a4", "holding": "#e59a9a"}
     for row, name in enumerate(names, 1):
         axis = axes[row][0]
