--- a/kelpfront/lab/timeline/script.py
+++ b/kelpfront/lab/timeline/script.py
@@ -18,6 +18,7 @@
 from kelpfront.config.reader import parse_config
 from kelpfront.inventory import Inventory
 from kelpfront.lab.fleet import Fault
+from kelpfront.lab.setup import make_hosts
 
 Range = Annotated[float, Field(ge=0)] | tuple[Annotated[float, Field(ge=0)], Annotated[float, Field(ge=0)]]
 
@@ -266,6 +267,7 @@
     wrong += [fault.class_ for fault in script.faults if fault.class_ and fault.class_ not in known]
     if wrong:
         raise ScriptError(f"{source}: class {wrong[0]!r} is not one of {', '.join(sorted(known))}")
+    _check_places(script, source)
     for number, kill in enumerate(script.kills):
         if kill.placer >= script.placers:
             raise ScriptError(f"{source}: kills.{number}.placer: there are {script.placers}, from 0")
@@ -275,6 +277,37 @@
     return Day(script)
 
 
+def _check_places(script: DayScript, source: str) -> None:
+    """Trouble for a machine, rack or place that the day does not have would silently be none."""
+    hosts = make_hosts(script.machines, script.rooms, [("any", 1.0, 1.0)])
+    machines, racks = {host.name for host in hosts}, {host.rack for host in hosts} | {"any"}
+    ends = machines | {f"p{number}" for number in range(script.placers)} | {"owners"}
+    ends |= {f"room:{room}" for room in script.rooms}
+    named = [
+        (f"faults.{number}.machines", name, machines)
+        for number, fault in enumerate(script.faults)
+        for name in fault.machines or ()
+    ]
+    named += [
+        (f"faults.{number}.rack", fault.rack, racks)
+        for number, fault in enumerate(script.faults)
+        if fault.rack is not None
+    ]
+    named += [
+        (f"partitions.{number}.between", name, ends)
+        for number, cut in enumerate(script.partitions)
+        for name in (*cut.between[0], *cut.between[1])
+    ]
+    for place, name, known in named:
+        if name not in known:
+            raise ScriptError(f"{source}: {place}: {name!r} is not one of {_some(known)}")
+
+
+def _some(names: set[str], most: int = 12) -> str:
+    shown = sorted(names)
+    return ", ".join(shown[:most]) + (f" and {len(shown) - most} more" if len(shown) > most else "")
+
+
 def schema() -> dict[str, Any]:
     """The JSON schema of a day, for editors."""
     found: dict[str, Any] = DayScript.model_json_schema(by_alias=True)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -307,6 +307,18 @@
         ),
         (SHORT + "faults: [{kind: crash, at: 1, lasts: 1, room: attic}]", "faults.0.room: 'attic'"),
         (SHORT + "kills: [{placer: 4, at: 1, lasts: 1}]", "kills.0.placer: there are 1, from 0"),
+        (
+            SHORT + "faults: [{kind: crash, at: 1, lasts: 1, machines: [n9]}]",
+            "'n9' is not one of n000, n001, n002",
+        ),
+        (
+            SHORT + "faults: [{kind: crash, at: 1, lasts: 1, rack: r}]",
+            "faults.0.rack: 'r' is not one of any, rack-",
+        ),
+        (
+            SHORT + "partitions: [{at: 1, lasts: 1, between: [[p7], [owners]]}]",
+            "partitions.0.between: 'p7' is not one of n000",
+        ),
         (SHORT + "settings: '[kind small]'", "day.yaml: settings"),
     ],
 )
