Giving a pin again begins its time anew

An operator who pinned the same level for the same time once more was told 200, and the pin still ended at the first time. A patch that names the pin renews it; an object that is written back as read does not.

--- a/kelpfront/placer/operations.py
+++ b/kelpfront/placer/operations.py
@@ -245,15 +245,23 @@
 
     def patch_level(self, name: str, patch: Any, validation: FieldValidation = "Strict") -> Written:
         stored = self.store.get(LEVELS, ("", name))
-        return self._write_level(stored, self._patched(LEVELS, stored, patch), validation)
+        merged = self._patched(LEVELS, stored, patch)
+        named = isinstance(patch.get("spec"), dict) and "pin" in patch["spec"]
+        return self._write_level(stored, merged, validation, renew=named)
 
-    def _write_level(self, stored: Stored, data: Object, validation: FieldValidation) -> Written:
-        """Only the pin is the API's to change; one that is written as it stands is left."""
+    def _write_level(
+        self, stored: Stored, data: Object, validation: FieldValidation, renew: bool = False
+    ) -> Written:
+        """Only the pin is the API's to change.
+
+        One that is written back as it stands is left; with `renew` its time begins anew.
+        """
         level, warnings = decode(LEVEL_INPUT, LEVELS, data, validation)
         self._check_metadata(LEVELS, level.metadata, "", stored.name)
         self.store.check_revision(LEVELS, stored, level.metadata.resource_version)
         pin = level.spec.pin
-        if (None if pin is None else pin.model_dump(by_alias=True)) == stored.body["spec"].get("pin"):
+        unchanged = (None if pin is None else pin.model_dump(by_alias=True)) == stored.body["spec"].get("pin")
+        if unchanged and not (renew and pin is not None):
             return Written(stored, False, warnings)
         its = None if pin is None else Level.of(pin.level)
         for_ms = 0.0 if pin is None else parse_duration(pin.for_)
--- a/tests/test_levels_service.py
+++ b/tests/test_levels_service.py
@@ -74,6 +74,16 @@
         assert body["status"]["changes"][-1]["after"] == "holding"
 
 
+async def test_a_pin_that_is_given_again_begins_anew_and_one_written_back_does_not() -> None:
+    async with cluster(1) as (_, service, _client):
+        first = await pinned(service, "careful")
+        await asyncio.sleep(0.01)
+        status, back = await told(service, "PUT", PATH, first)
+        assert (status, back["status"]["pinnedUntil"]) == (200, first["status"]["pinnedUntil"])
+        again = await pinned(service, "careful")
+        assert again["status"]["pinnedUntil"] > first["status"]["pinnedUntil"]
+
+
 async def test_a_pin_ends_and_is_taken_back() -> None:
     async with cluster(1) as (_, service, _client):
         await pinned(service, "essential", "1s")
