--- a/kelpfront/lab/timeline/search.py
+++ b/kelpfront/lab/timeline/search.py
@@ -23,7 +23,6 @@
 from kelpfront.placer.heart import Heart
 
 SHRINKS_MOST = 60  # runs spent on making one day small
-SPREAD = "apart = machine\ntogether = 2"
 
 SETTINGS = """
 [cluster]
--- a/kelpfront/levels/bounds.py
+++ b/kelpfront/levels/bounds.py
@@ -13,6 +13,7 @@
 from kelpfront.levels.model import Level
 
 WINDOW_MS = 10_000.0  # over which shares are taken: a stall or a burst of a second is a tenth of it
+OVERDUE_BEATS = 2.0  # a machine in use that was not heard for so many heartbeats is overdue, and not yet gone
 LEAST_COUNT = 20  # of what a share is taken of; fewer tell nothing
 
 
--- a/kelpfront/levels/explain.py
+++ b/kelpfront/levels/explain.py
@@ -4,7 +4,7 @@
 
 from kelpfront.levels.bounds import LEAVE_MS, STEP_MS, SYMPTOMS
 from kelpfront.levels.governor import Governor
-from kelpfront.levels.model import MEANING, RAISED, Level
+from kelpfront.levels.model import RAISED, Level
 from kelpfront.units import format_duration
 
 _UNITS = {symptom.name: symptom.unit for symptom in SYMPTOMS}
@@ -98,7 +98,3 @@
 
 def _time(ms: float) -> str:
     return format_duration(round(ms / 1000) * 1000) if ms >= 1000 else "less than a second"
-
-
-def meaning(level: Level) -> str:
-    return MEANING[level]
--- a/kelpfront/levels/ladder.py
+++ b/kelpfront/levels/ladder.py
@@ -81,7 +81,9 @@
             for symptom in symptoms
             if symptom.bound(level) is not None
         }
-        self._recent: deque[float] = deque()  # when the changes of the last hour were; at most `budget`
+        self._recent: deque[float] = (
+            deque()
+        )  # of the changes of the last hour: at most `budget`, and three a pin
         self._returns: dict[Level, deque[float]] = {level: deque(maxlen=16) for level in RAISED}
         self._chance = random.Random(seed)
         self._jitter = self._draw()
@@ -97,9 +99,6 @@
     def changes_in_hour(self) -> int:
         return len(self._recent)
 
-    def value(self, symptom: str) -> float:
-        return next((t.value for (_, name), t in self._traces.items() if name == symptom), 0.0)
-
     def enter_ms(self, level: Level) -> float:
         return ENTER_MS[level] * self._jitter
 
--- a/kelpfront/placer/levelling.py
+++ b/kelpfront/placer/levelling.py
@@ -16,7 +16,9 @@
 from kelpfront.api.meta import API_VERSION, JOBS, LEVELS, Object
 from kelpfront.clock import timestamp
 from kelpfront.levels import Ask, Change, Governor, Level, LevelSettings, Measures, RoomView, Seen
-from kelpfront.levels.explain import calls, given_up, leaves_when, meaning
+from kelpfront.levels.bounds import OVERDUE_BEATS
+from kelpfront.levels.explain import calls, given_up, leaves_when
+from kelpfront.levels.model import MEANING
 from kelpfront.placer.cluster import Cluster
 from kelpfront.placer.directory import Directory
 from kelpfront.placer.intents import LogLine
@@ -25,7 +27,6 @@
 from kelpfront.units import format_duration
 
 SHOW_MS = 2_000.0  # between changes of the object that only renew its figures
-OVERDUE_BEATS = 2.0  # a machine that has not been heard for so many heartbeats is overdue
 FULL = frozenset({api.Reason.NO_CORES, api.Reason.NO_MEMORY, api.Reason.QUEUE_FULL})
 CHANGES_SHOWN = 20
 
@@ -201,7 +202,7 @@
         status: Object = {
             "level": level.word,
             "since": when(ladder.since),
-            "meaning": meaning(level),
+            "meaning": MEANING[level],
             "why": changes[-1].why if changes else "the placer has started",
             "givenUp": given_up(governor),
             "leavesWhen": leaves_when(governor),
