What is not essential is tried for fewer aims where little is served

The issue asks for fewer retries at a level. At essential and holding the module is given less time for these classes, by the patience that it is told, and so refuses them after fewer attempts.

--- a/kelpfront/levels/governor.py
+++ b/kelpfront/levels/governor.py
@@ -100,6 +100,13 @@
             return None
         return self.ladder.pinned, max(0.0, self.ladder.pinned_until - self._at)
 
+    def tried_for(self, cls: int, left_ms: float) -> float:
+        """How long a task is tried, of what is left of its patience: less is fewer attempts."""
+        aims = self.measures.patience_aims
+        if aims is None or self.ranks.is_essential(cls):
+            return left_ms
+        return min(left_ms, aims * self.classes[cls].aim_ms)
+
     # ---- Work -----------------------------------------------------------------------------------------
 
     def weigh(self, now: float, ask: Ask) -> Turned | None:
--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -973,7 +973,7 @@
         self._pending -= 1
         spec = task.job.spec
         service = service_number(task.job.namespace, spec["service"])
-        left = max(0.0, task.deadline - now)
+        left = self.levelling.governor.tried_for(task.job.cls, max(0.0, task.deadline - now))
         arrived = api.TaskArrived(task.number, task.job.cls, service, spec["cores"], spec["memory"], left)
         self._feed(now, arrived)
         return True
