A spike costs a level some calm, and no longer begins its leave time anew

Levels were left 36 to 502 s after their cause: three essential tasks late within ten seconds set thirty seconds of quiet back to none, again and again. Time under the bounds is counted and twice the time over them taken off.

--- a/kelpfront/levels/bounds.py
+++ b/kelpfront/levels/bounds.py
@@ -1,8 +1,9 @@
 """When a level is called for and when it may be left: the table of symptoms, each figure with its reason.
 
-A symptom calls for a level once it has been at or over `enter` for the level's evidence time; the level may
-be left once all symptoms have been under `leave` for its leave time. Between the two bounds nothing changes:
-what hovers about one of them does not swing. A symptom without bounds for a level does not speak for it.
+A symptom calls for a level once it has been at or over `enter` for the level's evidence time. The level may be
+left once all its symptoms have been under `leave` for its leave time; what comes back meanwhile is taken off.
+Between the two bounds nothing changes: what hovers about one of them does not swing. A symptom without bounds
+for a level does not speak for it.
 """
 
 from __future__ import annotations
@@ -135,6 +136,9 @@
 # How long all symptoms must be away. Entering late costs worth, leaving late costs little, since at every
 # level work is taken while there is room for it.
 LEAVE_MS = {Level.CAREFUL: 30_000.0, Level.ESSENTIAL: 20_000.0, Level.HOLDING: 5_000.0}
+CALM_LOSS = (
+    2.0  # of that time for each in which a symptom is back: it must be away for two thirds of the time
+)
 STEP_MS = 4_000.0  # of recovering: one more rank comes back
 JITTER = (
     0.25  # of all these times each placer draws its own: siblings see the same, and must not swing as one
--- a/kelpfront/levels/explain.py
+++ b/kelpfront/levels/explain.py
@@ -64,7 +64,7 @@
         if speaking:
             found.append(f"and stay so for {_time(wait)}{_grown(wait, level)}")
         else:
-            left = max(0.0, wait - ladder.quiet_for(level))
+            left = max(0.0, wait - ladder.calm_for(level))
             found.append(f"nothing calls for it any more; it must stay so for {_time(left)} more")
         to = Level.FULL if level is Level.CAREFUL else Level.RECOVERING
     if not ladder.may_lower(to):
--- a/kelpfront/levels/ladder.py
+++ b/kelpfront/levels/ladder.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from kelpfront.levels.bounds import (
+    CALM_LOSS,
     DAMPING,
     ENTER_MS,
     HOUR_MS,
@@ -54,10 +55,10 @@
 
 @dataclass(slots=True)
 class _Trace:
-    """Since when a symptom has been over the one bound of a level, and under the other."""
+    """Since when a symptom has been over a level's bound of entry, and whether it is over that of leaving."""
 
     over_since: float = math.inf
-    under_since: float = math.inf
+    speaks: bool = False
     value: float = 0.0
 
 
@@ -81,6 +82,7 @@
             for symptom in symptoms
             if symptom.bound(level) is not None
         }
+        self._calm = dict.fromkeys(RAISED, 0.0)
         self._recent: deque[float] = (
             deque()
         )  # of the changes of the last hour: at most `budget`, and three a pin
@@ -112,15 +114,15 @@
         """The symptoms that keep a level from being left, with the bound that they must fall under."""
         found = []
         for (its, name), trace in self._traces.items():
-            if its is level and trace.under_since == math.inf:
+            if its is level and trace.speaks:
                 bound = self._symptoms[name].bound(level)
                 assert bound is not None
                 found.append(Evidence(name, trace.value, bound.leave))
         return found
 
-    def quiet_for(self, level: Level) -> float:
-        """For how long all symptoms of a level have been away."""
-        return self._at - max(trace.under_since for (its, _), trace in self._traces.items() if its is level)
+    def calm_for(self, level: Level) -> float:
+        """For how long all symptoms of a level have been away, less what the times cost when one was not."""
+        return self._calm[level]
 
     def may_lower(self, to: Level) -> bool:
         """Whether the budget allows a step down and all the steps up that may follow it."""
@@ -135,10 +137,12 @@
 
     def step(self, at: float, readings: Readings) -> Change | None:
         """Takes what is seen now; at most one change comes of it."""
+        passed = max(0.0, at - self._at)
         self._at = max(self._at, at)
         while self._recent and self._recent[0] <= self._at - HOUR_MS:
             self._recent.popleft()
         self._note(readings)
+        self._count_calm(passed)
         if self.pinned is not None:
             if self._at < self.pinned_until:
                 return None
@@ -165,10 +169,15 @@
                 trace.over_since = math.inf
             elif trace.over_since == math.inf:
                 trace.over_since = self._at
-            if trace.value >= bound.leave:
-                trace.under_since = math.inf
-            elif trace.under_since == math.inf:
-                trace.under_since = self._at
+            trace.speaks = trace.value >= bound.leave
+
+    def _count_calm(self, passed: float) -> None:
+        """A single late task among thirty is no strain: it costs some calm, and does not begin it anew."""
+        for level in RAISED:
+            if self.speaking(level):
+                self._calm[level] = max(0.0, self._calm[level] - CALM_LOSS * passed)
+            else:
+                self._calm[level] += passed
 
     def _raise(self) -> Change | None:
         """The highest level that is called for, if it is above this one."""
@@ -206,7 +215,7 @@
         return None
 
     def _quiet(self, level: Level) -> bool:
-        return not self.speaking(level) and self.quiet_for(level) >= self.leave_ms(level)
+        return not self.speaking(level) and self._calm[level] >= self.leave_ms(level)
 
     def _down(self, to: Level, why: str) -> Change | None:
         return self._go(to, why, ()) if self.may_lower(to) else None
@@ -218,5 +227,6 @@
             self._recent.append(self._at)
         self.level, self.since, self._stepped_at = to, self._at, self._at
         self.back = 1 if to is Level.RECOVERING else self.ranks
+        self._calm = dict.fromkeys(RAISED, 0.0)
         self._jitter = self._draw()
         return change
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -102,6 +102,24 @@
     assert its.path == ["careful", "essential", "recovering", "careful"]
 
 
+def test_spikes_do_not_keep_a_level_for_ever_and_strain_half_the_time_does() -> None:
+    its = Driven()
+    its.see(6.0, unserved=0.2)
+    assert its.level == "careful"
+    for _ in range(20):
+        its.see(15.0)
+        its.see(3.0, unserved=0.05)
+        if its.level == "full":
+            break
+    assert its.level == "full"
+    its = Driven()
+    its.see(6.0, unserved=0.2)
+    for _ in range(100):
+        its.see(10.0)
+        its.see(10.0, unserved=0.05)
+    assert its.path == ["careful"]
+
+
 def test_holding_is_entered_at_once_from_full() -> None:
     its = Driven()
     its.see(2.5, silent=1.0)
@@ -419,6 +437,14 @@
     assert governor.readings["unserved"] == 0.0
 
 
+def test_what_is_not_essential_is_tried_for_less_time_where_little_is_served() -> None:
+    its = Governed(Level.FULL).governor
+    assert [its.tried_for(cls, 8_000.0) for cls in (BATCH, BLEND)] == [8_000.0, 8_000.0]
+    its = Governed(Level.ESSENTIAL).governor
+    assert [its.tried_for(cls, 8_000.0) for cls in (BATCH, BLEND)] == [3_000.0, 8_000.0]
+    assert its.tried_for(BATCH, 500.0) == 500.0, "never longer than its owner waits"
+
+
 def test_levels_that_are_off_change_nothing() -> None:
     governor = Governor(LevelSettings(enabled=False), CLASSES, 1)
     now = 1e12
