--- a/kelpfront/levels/bounds.py
+++ b/kelpfront/levels/bounds.py
@@ -1,6 +1,6 @@
 """When a level is called for and when it may be left: the table of symptoms, each figure with its reason.
 
-A symptom calls for a level once it has been at or over `enter` for the level's evidence time. The level may be
+A symptom calls for a level once it was at or over `enter` for the level's evidence time. The level may be
 left once all its symptoms have been under `leave` for its leave time; what comes back meanwhile is taken off.
 Between the two bounds nothing changes: what hovers about one of them does not swing. A symptom without bounds
 for a level does not speak for it.
