--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -15,6 +15,7 @@
 import click
 
 from kelpfront.cli.common import console, fail, plain_table
+from kelpfront.cli.load import load
 
 if TYPE_CHECKING:
     from kelpfront.lab.timeline.script import Day
@@ -25,6 +26,9 @@
     """Experiments on the whole program, with processes on loopback."""
 
 
+lab.add_command(load)
+
+
 def need_packages() -> None:
     try:
         import hdrh  # noqa: F401
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -63,7 +63,7 @@
 
 
 @dataclass(slots=True)
-class _Placer:
+class EmulatedPlacer:
     number: int
     name: str
     service: PlacerService | None = None
@@ -97,7 +97,7 @@
             self.recorder,
             standin=PlacedStandIn,
         )
-        self.placers = [_Placer(number, f"p{number}") for number in range(day.placers)]
+        self.placers = [EmulatedPlacer(number, f"p{number}") for number in range(day.placers)]
         self.answers: Counter[str] = Counter()
         self.rejected: Counter[str] = Counter()
         self._work: dict[asyncio.Task[None], None] = {}
@@ -122,7 +122,7 @@
         hosts = await self.fleet.start()
         self.inventory = Inventory("day", {host.name: host for host in hosts})
         for placer in self.placers:
-            await self._start(placer)
+            await self.start_placer(placer)
         faults, partitions, kills = self.day.draw(self.rng, self.fleet.machines, self.inventory)
         self.fleet.play(faults)
         for partition in partitions:
@@ -138,7 +138,7 @@
         figures = await self._end(faults)
         return figures
 
-    async def _start(self, placer: _Placer) -> None:
+    async def start_placer(self, placer: EmulatedPlacer) -> None:
         with at(placer.name):
             service = PlacerService(
                 self._config(placer.number),
@@ -170,7 +170,7 @@
 
         service.heart.take_intents = taken  # type: ignore[method-assign]
 
-    async def _kill(self, placer: _Placer, at_s: float, for_s: float) -> None:
+    async def _kill(self, placer: EmulatedPlacer, at_s: float, for_s: float) -> None:
         await asyncio.sleep(at_s)
         service, placer.service = placer.service, None
         if service is None:
@@ -178,7 +178,7 @@
         self.recorder.write("placer-killed", placer=placer.name)
         await service.close()
         await asyncio.sleep(for_s)
-        await self._start(placer)
+        await self.start_placer(placer)
         self.recorder.write("placer-up", placer=placer.name)
 
     async def _partition(self, partition: Partition) -> None:
@@ -204,7 +204,7 @@
 
     # ---- Owners ---------------------------------------------------------------------------------------
 
-    async def _owners(self, placer: _Placer, began: float) -> None:
+    async def _owners(self, placer: EmulatedPlacer, began: float) -> None:
         """Those of one placer: jobs by Poisson, each followed to its answer."""
         rng = random.Random(f"owners/{self.seed}/{placer.number}")
         client = Client(
@@ -220,7 +220,9 @@
             cls = rng.choices(names, [self.day.mix.get(name, 1.0) for name in names])[0]
             self._spawn(self._owner(client, placer, cls, rng.randrange(self.day.services), self._jobs))
 
-    async def _owner(self, client: Client, placer: _Placer, cls: str, service: int, number: int) -> None:
+    async def _owner(
+        self, client: Client, placer: EmulatedPlacer, cls: str, service: int, number: int
+    ) -> None:
         section = self.config.classes[cls]
         spec: dict[str, Any] = {"class": cls, "service": f"{cls}-{service}", "cores": 1.0, "memory": 1.0}
         if section.effect == "keyed":
