--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -373,8 +373,8 @@
 def emulate_day(day: str, seed: int, log: bool, as_json: bool) -> None:
     """Play a day in virtual time: real placers, machines and clients on a network in memory.
 
-    DAY is a file, or one of the laboratory's own: bad, calm, partition, rolling, room, silent. The same day
-    and seed give the same digest on every machine. Exit code 1 if a rule was broken.
+    DAY is a file, or one of the laboratory's own: bad, calm, clocks, partition, rolling, room, silent,
+    stalled. The same day and seed give the same digest on every machine. Exit code 1 if a rule was broken.
     """
     from kelpfront.lab.timeline.emulation import emulate
 
--- a/kelpfront/lab/fleet.py
+++ b/kelpfront/lab/fleet.py
@@ -20,7 +20,16 @@
 from kelpfront.machine.warmup import Warmup
 
 FaultKind = Literal[
-    "crash", "silence", "late", "reset", "drain", "neighbour", "class-fail", "class-full", "list-lag"
+    "crash",
+    "silence",
+    "mute",
+    "late",
+    "reset",
+    "drain",
+    "neighbour",
+    "class-fail",
+    "class-full",
+    "list-lag",
 ]
 
 
@@ -28,6 +37,7 @@
     """One thing that goes wrong with some machines, from `at_s` on for `for_s` seconds.
 
     - crash: down at once, back cold. silence: takes requests, answers nothing, streams nothing.
+    - mute: answers, but its stream tells nothing: neither state nor ends.
     - late: answers `value` ms late. reset: a share `value` of answers is lost with its connection.
     - drain: takes nothing more and sends its tasks away, then goes down and comes back cold.
     - neighbour: another program takes a share `value` of the machine.
@@ -141,6 +151,8 @@
                 self._spawn(boot_again(machine, fault.for_s * self._rng.uniform(0.8, 1.2)))
             case "silence":
                 machine.silence(True)
+            case "mute":
+                troubles.mute = True
             case "late":
                 troubles.late_ms = fault.value
             case "reset":
@@ -161,6 +173,8 @@
         match fault.kind:
             case "silence":
                 machine.silence(False)
+            case "mute":
+                troubles.mute = False
             case "late":
                 troubles.late_ms = 0.0
             case "reset":
--- a/kelpfront/lab/recording.py
+++ b/kelpfront/lab/recording.py
@@ -5,7 +5,7 @@
 
 Events of machines: `boot`, `down`, `fell`, `told`, `offer`, `answer`, `left`, `start`, `end`, `gone-told`.
 Events of clients: `submit`, `taken`, `rejected`, `answer-seen`, `withdrawn`, `drain-asked`.
-Events of the day's director: `placer-up`, `placer-killed`, `agent-killed`, `fault`.
+Events of the day's director: `placer-up`, `placer-killed`, `placer-stalled`, `agent-killed`, `fault`.
 """
 
 from __future__ import annotations
--- a/kelpfront/lab/timeline/network.py
+++ b/kelpfront/lab/timeline/network.py
@@ -17,7 +17,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-HERE: contextvars.ContextVar[str] = contextvars.ContextVar("kelpfront-lab-place", default="outside")
+from kelpfront.lab.timeline.loop import HERE, VirtualLoop
+
 HIGH_WATER = 65_536
 FIRST_PORT = 49_152
 
@@ -165,7 +166,17 @@
         if peer is not None:
             self._network.carry(self, len(data or b""), lambda: peer._arrive(data))
 
+    def _stands(self, call: Callable[..., None], *args: Any) -> bool:
+        """Whether this end's party stands still; if so, it hears of this once it goes on."""
+        loop = asyncio.get_running_loop()
+        if not (isinstance(loop, VirtualLoop) and loop.is_stalled(self.place)):
+            return False
+        self._soon(call, *args)
+        return True
+
     def _arrive(self, data: bytes | None) -> None:
+        if self._stands(self._arrive, data):
+            return
         if self._lost:
             peer = self._peer
             if data and peer is not None and not peer._lost:  # nobody is there any more: a reset comes back
@@ -187,12 +198,16 @@
             self._run(self._protocol.data_received, data)
 
     def _taken(self, size: int) -> None:
+        if self._stands(self._taken, size):
+            return
         self._under_way -= size
         if self._pausing_writer and self._under_way <= self._low and not self._lost:
             self._pausing_writer = False
             self._run(self._protocol.resume_writing)
 
     def _reset(self) -> None:
+        if self._stands(self._reset):
+            return
         if not self._lost:
             self._closing = True
             self._run(self._lose, ConnectionResetError(104, "Connection reset by peer"))
@@ -299,6 +314,8 @@
 
     def _accept(self, listener: Listener, far: MemoryTransport) -> None:
         """The other end hears that the connection stands, before anything that comes over it."""
+        if far._stands(self._accept, listener, far):
+            return
         if not listener.is_serving():
             far._protocol = asyncio.Protocol()
             far.abort()
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -15,7 +15,8 @@
 
 import pytest
 
-from kelpfront.lab.timeline.emulation import emulate
+from kelpfront.inventory import Inventory
+from kelpfront.lab.timeline.emulation import Emulation, emulate
 from kelpfront.lab.timeline.guard import RealWorldError, sealed
 from kelpfront.lab.timeline.loop import DeadlockError, LivelockError, VirtualLoop, run
 from kelpfront.lab.timeline.network import Network, at
@@ -370,3 +371,128 @@
 
     with pytest.raises(LivelockError, match="time stands still"):
         run(main())
+
+
+# ---- Parties that stand still, clocks that are wrong, herds ----------------------------------------------
+
+
+def test_a_place_that_stands_still_runs_what_waited_in_its_order_and_others_go_on() -> None:
+    seen: list[tuple[str, float]] = []
+
+    async def party(name: str) -> None:
+        for _ in range(3):
+            await asyncio.sleep(1.0)
+            seen.append((name, asyncio.get_running_loop().time()))
+
+    async def main(loop: VirtualLoop) -> None:
+        tasks = []
+        for name in ("still", "other"):
+            with at(name):
+                tasks.append(loop.create_task(party(name)))
+        with at("still"):
+            loop.call_later(1.6, seen.append, ("first timer", 1.6))
+            loop.call_later(1.7, seen.append, ("second timer", 1.7))
+        await asyncio.sleep(1.5)
+        loop.stall("still")
+        await asyncio.sleep(3.0)
+        loop.resume("still")
+        await asyncio.gather(*tasks)
+
+    loop = VirtualLoop()
+    run(main(loop), loop)
+    assert [name for name, _ in seen] == [
+        "still", "other", "other", "other", "first timer", "second timer", "still", "still",
+    ]  # fmt: skip
+    assert [t for name, t in seen if name == "still"] == pytest.approx([1.0, 4.5, 5.5])
+
+
+def test_what_comes_to_a_place_that_stands_still_is_heard_when_it_goes_on() -> None:
+    async def main(network: Network) -> tuple[bytes, float]:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        heard: asyncio.Future[tuple[bytes, float]] = loop.create_future()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            heard.set_result((await reader.read(10), loop.time()))
+            writer.close()
+
+        with at("server"):
+            await asyncio.start_server(serve, "server", 80)
+        loop.stall("server")
+        with at("client"):
+            _, writer = await asyncio.open_connection("server", 80)  # its host takes the connection
+            writer.write(b"early")
+        await asyncio.sleep(5.0)
+        assert not heard.done()
+        loop.resume("server")
+        return await heard
+
+    data, when = on_network(main)
+    assert data == b"early"
+    assert when == pytest.approx(5.0, abs=0.01)
+
+
+STALLED = (
+    SHORT + "herds:\n  - {at: 1.0, jobs: 40, within: 0.2}\nstalls:\n  - {placer: 0, at: 1.5, lasts: 2}\n"
+)
+
+
+def test_a_placer_that_stands_still_keeps_the_rules_and_a_herd_is_answered() -> None:
+    figures = emulate(read_day(STALLED, "test"), 3)
+    assert figures["violations"] == 0, figures["examples"]
+    assert figures["jobs"] > 40
+    taken = sum(figures["answers"].values()) + sum(figures["rejected"].values())
+    assert taken == figures["jobs"]
+
+
+def test_a_stall_excuses_only_what_could_not_be_done_in_it() -> None:
+    day = read_day(
+        SHORT.replace("rate: 8", "rate: 16")
+        + "faults:\n  - {kind: drain, at: 1.5, lasts: 3, share: 1.0}\n"
+        + "stalls:\n  - {placer: 0, at: 1.2, lasts: 1}\n",
+        "test",
+    )
+    assert emulate(day, 1)["violations"] == 0
+    assert emulate(day, 1, heart_class=WRONG["DeafToDrains"])["by_rule"]["drains"]
+    crowded = read_day(
+        SHORT.replace("machines: 3", "machines: 1")
+        + "herds:\n  - {at: 1.0, jobs: 160}\nstalls:\n  - {placer: 0, at: 1.4, lasts: 7}\n",
+        "test",
+    )
+    assert emulate(crowded, 1)["violations"] == 0
+    assert emulate(crowded, 1, heart_class=WRONG["ForgetsToAnswer"])["by_rule"]["one-answer"]
+
+
+def test_wrong_clocks_change_no_answer() -> None:
+    skewed = SHORT + "skews:\n  - {place: n001, ms: -20000}\n  - {place: owners, ms: [-300, 300]}\n"
+    figures = emulate(read_day(skewed, "test"), 2)
+    assert figures["violations"] == 0, figures["examples"]
+    assert figures["answers"]["Placed"] == figures["jobs"]
+
+
+def test_machines_are_taken_in_waves() -> None:
+    day = read_day(
+        SHORT.replace("machines: 3", "machines: 5")
+        + "faults:\n  - {kind: drain, at: 1, lasts: 2, share: 1.0, at_a_time: 2, every: 1.5}\n",
+        "test",
+    )
+    loop = VirtualLoop()
+    emulation = Emulation(day, 1, loop, Network(1))
+    planned = Inventory("test", {host.name: host for host in emulation.hosts})
+    faults = day.draw(random.Random(1), emulation.fleet.machines, planned).faults
+    assert [(fault.at_s, len(fault.hosts)) for fault in faults] == [(1.0, 2), (2.5, 2), (4.0, 1)]
+    assert len({name for fault in faults for name in fault.hosts}) == 5
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("stalls:\n  - {placer: 7, at: 1, lasts: 1}\n", "stalls.0.placer"),
+        ("skews:\n  - {place: nowhere, ms: 5}\n", "skews.0.place: 'nowhere'"),
+        ("herds:\n  - {at: 1, jobs: 0}\n", "herds.0.jobs"),
+    ],
+)
+def test_a_stall_skew_or_herd_that_cannot_be_is_refused(text: str, named: str) -> None:
+    with pytest.raises(ScriptError) as caught:
+        read_day(SHORT + text, "test")
+    assert named in str(caught.value)
