A cause that is back while its level is still held lengthens the stay

With the level left sooner after single late tasks, a room that is lost for a minute each five minutes was left and entered four times: 8 changes, 7 are the limit. A return counted only once the level had been left.

--- a/kelpfront/levels/bounds.py
+++ b/kelpfront/levels/bounds.py
@@ -136,13 +136,13 @@
 # How long all symptoms must be away. Entering late costs worth, leaving late costs little, since at every
 # level work is taken while there is room for it.
 LEAVE_MS = {Level.CAREFUL: 30_000.0, Level.ESSENTIAL: 20_000.0, Level.HOLDING: 5_000.0}
-CALM_LOSS = (
-    2.0  # of that time for each in which a symptom is back: it must be away for two thirds of the time
-)
+# What a symptom that is back for a while costs of the time for which it was away, as a multiple: a level is
+# left though single tasks are late now and then, where that is for less than a third of the time.
+CALM_LOSS = 2.0
 STEP_MS = 4_000.0  # of recovering: one more rank comes back
 JITTER = (
     0.25  # of all these times each placer draws its own: siblings see the same, and must not swing as one
 )
-DAMPING = 2.0  # a level entered again within the hour is left after so many times the time before ...
+DAMPING = 2.0  # a level called for again within the hour is left after so many times the time before ...
 LONGEST_LEAVE_MS = 600_000.0  # ... up to this
 HOUR_MS = 3_600_000.0
--- a/kelpfront/levels/ladder.py
+++ b/kelpfront/levels/ladder.py
@@ -83,6 +83,7 @@
             if symptom.bound(level) is not None
         }
         self._calm = dict.fromkeys(RAISED, 0.0)
+        self._rested: set[Level] = set()  # calm for so long that they would be left, had they not come back
         self._recent: deque[float] = (
             deque()
         )  # of the changes of the last hour: at most `budget`, and three a pin
@@ -143,6 +144,7 @@
             self._recent.popleft()
         self._note(readings)
         self._count_calm(passed)
+        self._note_return()
         if self.pinned is not None:
             if self._at < self.pinned_until:
                 return None
@@ -178,18 +180,32 @@
                 self._calm[level] = max(0.0, self._calm[level] - CALM_LOSS * passed)
             else:
                 self._calm[level] += passed
+                if self._calm[level] >= LEAVE_MS[level] * self._jitter:
+                    self._rested.add(level)
+
+    def _calling(self, level: Level) -> list[Evidence]:
+        """The symptoms that call for a level."""
+        found = []
+        for (its, name), trace in self._traces.items():
+            if its is level and self._at - trace.over_since >= self.enter_ms(level):
+                bound = self._symptoms[name].bound(level)
+                assert bound is not None
+                found.append(Evidence(name, trace.value, bound.enter))
+        return found
+
+    def _note_return(self) -> None:
+        """A cause that is back while its level is still held: the level was about to be left too early."""
+        if self.level in self._rested and self._calling(self.level):
+            self._rested.discard(self.level)
+            self._returns[self.level].append(self._at)
+            self._calm[self.level] = 0.0
 
     def _raise(self) -> Change | None:
         """The highest level that is called for, if it is above this one."""
         for level in reversed(RAISED):
             if level <= self.level:
                 return None
-            found = []
-            for (its, name), trace in self._traces.items():
-                if its is level and self._at - trace.over_since >= self.enter_ms(level):
-                    bound = self._symptoms[name].bound(level)
-                    assert bound is not None
-                    found.append(Evidence(name, trace.value, bound.enter))
+            found = self._calling(level)
             if found:
                 why = ", ".join(f"{one.symptom} {one.value:.3g} is {one.bound:g} or more" for one in found)
                 self._returns[level].append(self._at)
@@ -228,5 +244,6 @@
         self.level, self.since, self._stepped_at = to, self._at, self._at
         self.back = 1 if to is Level.RECOVERING else self.ranks
         self._calm = dict.fromkeys(RAISED, 0.0)
+        self._rested.clear()
         self._jitter = self._draw()
         return change
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -120,6 +120,22 @@
     assert its.path == ["careful"]
 
 
+def test_a_cause_that_is_back_while_its_level_is_held_lengthens_the_stay() -> None:
+    its = Driven()
+    its.see(6.0, unserved=0.2)
+    its.see(60.0)
+    its.see(6.0, unserved=0.2)
+    assert its.path == ["careful", "full", "careful"]
+    level, before = its.ladder.level, its.ladder.leave_ms(its.ladder.level)
+    its.see(20.0)
+    its.see(6.0, unserved=0.2)  # calm for too short a time to count as another return
+    assert its.ladder.leave_ms(level) == before
+    its.see(42.0)  # at its first entry it would have been left by now
+    assert its.level == "careful"
+    its.see(6.0, unserved=0.2)
+    assert its.ladder.leave_ms(level) == pytest.approx(2.0 * before)
+
+
 def test_holding_is_entered_at_once_from_full() -> None:
     its = Driven()
     its.see(2.5, silent=1.0)
