--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -14,7 +14,8 @@
 
 import click
 
-from kelpfront.cli.common import console, fail, plain_table
+from kelpfront.cli.common import console, fail, plain_table, set_option
+from kelpfront.cli.experiments import experiment, report
 from kelpfront.cli.load import load
 
 if TYPE_CHECKING:
@@ -26,7 +27,9 @@
     """Experiments on the whole program, with processes on loopback."""
 
 
-lab.add_command(load)
+POLICIES = ("rules", "random", "least-loaded", "no-guardrails", "perfect")
+for command in (load, experiment, report):
+    lab.add_command(command)
 
 
 def need_packages() -> None:
@@ -369,19 +372,28 @@
 @click.argument("day")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--log", is_flag=True, help="Show what the program logs, with virtual seconds.")
+@click.option("--policy", type=click.Choice(POLICIES), default="rules", show_default=True)
+@set_option
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def emulate_day(day: str, seed: int, log: bool, as_json: bool) -> None:
+def emulate_day(
+    day: str, seed: int, log: bool, policy: str, overrides: tuple[str, ...], as_json: bool
+) -> None:
     """Play a day in virtual time: real placers, machines and clients on a network in memory.
 
     DAY is a file, or one of the laboratory's own: bad, calm, clocks, partition, rolling, room, silent,
     stalled. The same day and seed give the same digest on every machine. Exit code 1 if a rule was broken.
     """
-    from kelpfront.lab.timeline.emulation import emulate
+    from kelpfront.config import ConfigError
+    from kelpfront.lab.policies import heart_of
+    from kelpfront.lab.timeline.emulation import play
 
     def show(line: dict[str, Any]) -> None:
         click.echo(json.dumps(line), err=True)
 
-    figures = emulate(_read_day(day), seed, show if log else None)
+    try:
+        figures = play(_read_day(day), seed, show if log else None, heart_of(policy), overrides).figures
+    except ConfigError as error:
+        fail(f"--set: {error}")
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     if figures["violations"] or figures["reached_outside"]:
         raise SystemExit(1)
--- /dev/null
+++ b/kelpfront/lab/policies.py
@@ -0,0 +1,119 @@
+"""Other ways to choose machines, to compare the decisions with. Each keeps the five rules as they are.
+
+They are the module with its choice replaced: what filters for the rules stays (spread, effects, cold
+machines, drains), and so do time-outs, attempts and answers. None of them is for use.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from kelpfront import interface as api
+from kelpfront.placer.heart import Heart
+from kelpfront.rules import Scheduler, _home, _Machine, _Task
+
+
+class _Plain(Scheduler):
+    """Room and the rules alone: machines that serve badly are not avoided, and nothing is learned of use."""
+
+    def _fits_health(self, cls: api.TaskClass, machine: _Machine) -> bool:
+        return True
+
+    def _fits_use(self, task: _Task, machine: _Machine) -> bool:
+        return True
+
+    def _hold(self) -> None:
+        pass
+
+
+class RandomChoice(_Plain):
+    """Any machine that has room."""
+
+    def _pick(self, task: _Task) -> _Machine | None:
+        passing = self._candidates(task)
+        return self._random.choice(passing) if passing else None
+
+
+class LeastLoaded(_Plain):
+    """The machine of which the least is asked for, by what this placer knows."""
+
+    def _pick(self, task: _Task) -> _Machine | None:
+        def share(machine: _Machine) -> float:
+            cores, memory = machine.asked(self._now)
+            return max(cores / machine.cores, memory / machine.memory)
+
+        return min(self._candidates(task), key=lambda m: (share(m), _home(task.service, m.id)), default=None)
+
+
+class WithoutGuardrails(Scheduler):
+    """The module's filters and its preference for where a service runs, without counters between placers."""
+
+    def _pick(self, task: _Task) -> _Machine | None:
+        passing = self._candidates(task)
+        held = {id(a.machine) for a in self._services.get(task.service, {}).values()}
+        near = [m for m in passing if id(m) in held] or passing
+        return min(near, key=lambda m: _home(task.service, m.id), default=None)
+
+
+@dataclass(frozen=True, slots=True)
+class Truth:
+    """What a machine is really like now: cores and memory that it would still take, classes that fail."""
+
+    free_cores: float
+    free_memory: float
+    cores: float
+    failing: frozenset[str]
+    programs: frozenset[int]  # numbers of the services whose start is cheap there
+
+
+class PerfectKnowledge(Scheduler):
+    """Sees every machine as it is, with all placers' tasks; the laboratory sets `truth`. None: not usable."""
+
+    truth: Callable[[api.MachineId], Truth | None] = staticmethod(lambda machine: None)
+
+    def _fits_room(self, task: _Task, machine: _Machine) -> bool:
+        its = self.truth(machine.id)
+        return its is not None and its.free_cores >= task.cores and its.free_memory >= task.memory
+
+    def _fits_health(self, cls: api.TaskClass, machine: _Machine) -> bool:
+        its = self.truth(machine.id)
+        return its is not None and cls.name not in its.failing
+
+    def _hold(self) -> None:
+        pass
+
+    def _pick(self, task: _Task) -> _Machine | None:
+        def good(machine: _Machine) -> tuple[bool, float]:
+            its = self.truth(machine.id)
+            assert its is not None
+            return task.service in its.programs, its.free_cores / its.cores
+
+        passing = [m for m in self._candidates(task) if self._fits_health(task.cls, m)]
+        return max(passing, key=lambda m: (good(m), -_home(task.service, m.id)), default=None)
+
+
+POLICIES: dict[str, type[Scheduler]] = {
+    "rules": Scheduler,
+    "random": RandomChoice,
+    "least-loaded": LeastLoaded,
+    "no-guardrails": WithoutGuardrails,
+    "perfect": PerfectKnowledge,
+}
+
+
+def heart_of(policy: str) -> type[Heart]:
+    """A heart that decides by a policy."""
+    if policy == "rules":
+        return Heart
+    scheduler = POLICIES[policy]
+
+    class PolicyHeart(Heart):
+        def __init__(
+            self, cluster: Any, store: Any, name: str, life: str, seed: int, *args: Any, **more: Any
+        ):
+            more["scheduler"] = scheduler(cluster.settings, seed)
+            super().__init__(cluster, store, name, life, seed, *args, **more)
+
+    return PolicyHeart
--- /dev/null
+++ b/kelpfront/lab/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of experiments: plots and one page that needs nothing else."""
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -364,10 +364,14 @@
         rate = self.troubles.full.get(cls)
         if rate is None:
             return None
+        return Answer("refused", "FULL", "turned away") if self.class_rate(cls) > rate else None
+
+    def class_rate(self, cls: str) -> int:
+        """Offers of a class in the last second."""
         recent = self._class_offers.setdefault(cls, deque())
         while recent and recent[0] <= self.now() - 1000.0:
             recent.popleft()
-        return Answer("refused", "FULL", "turned away") if len(recent) > rate else None
+        return len(recent)
 
     # ---- Tasks ----------------------------------------------------------------------------------------
 
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -9,17 +9,19 @@
 
 import asyncio
 import contextlib
+import functools
 import gc
 import hashlib
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 import structlog
 
+from kelpfront import interface as api
 from kelpfront.api.errors import ApiError
 from kelpfront.api.jobs import JobSpec
 from kelpfront.client import Client, ServerUnreachableError
@@ -28,7 +30,9 @@
 from kelpfront.config.reader import parse_config
 from kelpfront.inventory import Inventory
 from kelpfront.lab.checker import Figures, Verdict, check
+from kelpfront.lab.experiments.measures import Sample, measure
 from kelpfront.lab.fleet import Fault, Fleet, FleetModel
+from kelpfront.lab.policies import PerfectKnowledge, Truth
 from kelpfront.lab.recording import Recorder
 from kelpfront.lab.setup import make_hosts
 from kelpfront.lab.standin import StandIn
@@ -36,6 +40,7 @@
 from kelpfront.lab.timeline.loop import VirtualLoop
 from kelpfront.lab.timeline.network import Network, at
 from kelpfront.lab.timeline.script import Burst, Day, Partition
+from kelpfront.numbers import service_number
 from kelpfront.placer.heart import Heart
 from kelpfront.placer.intents import AbandonOffer, Intent
 from kelpfront.service.app import PlacerService
@@ -44,6 +49,7 @@
 API_PORT, MACHINE_PORT = 8140, 80
 READY_WITHIN_S = 10.0
 COLLECT_S = 5.0
+SAMPLE_S = 1.0
 
 
 class EmulationError(RuntimeError):
@@ -79,8 +85,10 @@
         loop: VirtualLoop,
         network: Network,
         heart_class: type[Heart] = Heart,
+        overrides: Sequence[str] = (),
     ) -> None:
-        self._heart_class = heart_class
+        """`overrides` are SECTION.KEY=VALUE, put over the day's settings."""
+        self._heart_class, self._overrides = heart_class, tuple(overrides)
         self.day, self.seed, self.loop, self.network = day, seed, loop, network
         self.rng = random.Random(f"emulation/{seed}")
         self.clock = self._clock()
@@ -100,6 +108,8 @@
             standin=PlacedStandIn,
         )
         self.placers = [EmulatedPlacer(number, f"p{number}") for number in range(day.placers)]
+        self.samples: list[Sample] = []
+        self.verdict = Verdict()
         self.answers: Counter[str] = Counter()
         self.rejected: Counter[str] = Counter()
         self._work: dict[asyncio.Task[None], None] = {}
@@ -115,6 +125,7 @@
             f"placer.number={number}",
             f"placer.listen=p{number}:{API_PORT}",
             f"cluster.placers={self.day.placers}",
+            *self._overrides,
         )
         return parse_config(self.day.settings, "day", overrides)
 
@@ -139,6 +150,7 @@
         for stall in trouble.stalls:
             self._spawn(self._stall(self.placers[stall.placer], stall.at_s, stall.for_s))
         began = self.loop.time()
+        self._spawn(self._observe(began))
         with at("owners"):
             for placer in self.placers:
                 self._spawn(self._owners(placer, began))
@@ -160,6 +172,9 @@
                 stopwatch=self.loop.time,
             )
             placer.service = service
+            decides = service.heart._scheduler
+            if isinstance(decides, PerfectKnowledge):
+                decides.truth = functools.partial(self._truth, service)
             self._record_ends(service)
             await service.start()
         with contextlib.suppress(TimeoutError):
@@ -181,6 +196,39 @@
 
         service.heart.take_intents = taken  # type: ignore[method-assign]
 
+    def _truth(self, service: PlacerService, number: api.MachineId) -> Truth | None:
+        """What a machine is like, for the policy that sees everything."""
+        standin = self.fleet.machines[service.heart.directory.by_number[number].name]
+        if not standin.up or standin.troubles.silent:
+            return None
+        its = standin.settings.capacity
+        held = [held.offer for held in standin.node.tasks.values()]
+        bad = {cls for cls, (share, _) in standin.troubles.failing.items() if share > 0.1}
+        bad |= {cls for cls, rate in standin.troubles.full.items() if standin.class_rate(cls) >= rate}
+        return Truth(
+            its.cores * its.over_cores - sum(offer.cores for offer in held),
+            its.memory * its.over_memory - sum(offer.memory for offer in held),
+            its.cores,
+            frozenset(bad),
+            frozenset(service_number(*name.split("/", 1)) for name in standin.node.programs),
+        )
+
+    async def _observe(self, began: float) -> None:
+        """A look each second at what no party sees whole."""
+        while True:
+            load, levels, open_tasks = {}, {}, {}
+            for name, standin in self.fleet.machines.items():
+                if standin.up:
+                    asked = sum(held.offer.cores for held in standin.node.tasks.values())
+                    load[name] = round(asked / standin.settings.capacity.cores, 4)
+            for placer in self.placers:
+                if placer.service is not None:
+                    heart = placer.service.heart
+                    levels[placer.name] = heart.levelling.level.word
+                    open_tasks[placer.name] = heart.open_tasks
+            self.samples.append(Sample(self.loop.time() - began, load, levels, open_tasks))
+            await asyncio.sleep(SAMPLE_S)
+
     async def _kill(self, placer: EmulatedPlacer, at_s: float, for_s: float) -> None:
         await asyncio.sleep(at_s)
         service, placer.service = placer.service, None
@@ -295,7 +343,8 @@
             if task.answer is not None:
                 # When the placer says that it answered: a watch that was cut shows it later.
                 self.answers[str(task.answer)] += 1
-                self.recorder.write("answer-seen", task=task.uid, answer=str(task.answer), cls=cls)
+                seen = {"answer": str(task.answer), "cls": cls, "reason": task.reason or ""}
+                self.recorder.write("answer-seen", task=task.uid, **seen)
 
     # ---- The end --------------------------------------------------------------------------------------
 
@@ -307,7 +356,7 @@
             if placer.service is not None:
                 await placer.service.close()
         self.fleet.close()
-        verdict: Verdict = check(self.recorder.lines, Figures.of(self.config))
+        self.verdict = verdict = check(self.recorder.lines, Figures.of(self.config))
         return {
             "day": self.day.name,
             "seed": self.seed,
@@ -330,6 +379,17 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class Played:
+    """A day that was played: what came of it, and all that was recorded."""
+
+    figures: dict[str, Any]
+    config: Config
+    lines: list[dict[str, Any]]
+    samples: list[Sample]
+    violations: list[tuple[float, str]]  # milliseconds, rule
+
+
 def digest(lines: list[dict[str, Any]]) -> str:
     """Of a timeline: the same lines in the same order give the same, on every machine."""
     hashed = hashlib.blake2b(digest_size=16)
@@ -345,6 +405,17 @@
     on_log: Callable[[dict[str, Any]], None] | None = None,
     heart_class: type[Heart] = Heart,
 ) -> dict[str, Any]:
+    """What came of a day, as `play`."""
+    return play(day, seed, on_log, heart_class).figures
+
+
+def play(
+    day: Day,
+    seed: int,
+    on_log: Callable[[dict[str, Any]], None] | None = None,
+    heart_class: type[Heart] = Heart,
+    overrides: Sequence[str] = (),
+) -> Played:
     """Runs a day; RealWorldError where something of it read the real clock, chance or a socket."""
     loop = VirtualLoop()
     network = loop.network = Network(seed)
@@ -376,7 +447,7 @@
     try:
         with sealed() as reached:
             try:
-                emulation = Emulation(day, seed, loop, network, heart_class)
+                emulation = Emulation(day, seed, loop, network, heart_class, overrides)
                 figures = loop.run_until_complete(emulation.run())
             finally:
                 loop.run_until_complete(loop.shutdown_asyncgens())
@@ -387,4 +458,12 @@
             gc.enable()
     if errors:
         raise EmulationError(f"{len(errors)} errors of the program went to its event loop: {errors[:3]}")
-    return {**figures, "reached_outside": sorted(set(reached)), "turns": loop.turns}
+    lines, samples = emulation.recorder.lines, emulation.samples
+    measures = measure(lines, emulation.config, samples, figures["violations"])
+    figures |= {
+        "reached_outside": sorted(set(reached)),
+        "turns": loop.turns,
+        "measures": {name: round(value, 6) for name, value in measures.items()},
+    }
+    violations = [(one.t, one.rule) for one in emulation.verdict.violations]
+    return Played(figures, emulation.config, lines, samples, violations)
--- a/kelpfront/machine/node.py
+++ b/kelpfront/machine/node.py
@@ -288,6 +288,11 @@
         """Tasks by uid; not to be changed."""
         return self._held
 
+    @property
+    def programs(self) -> set[str]:
+        """Services whose program is there: a start of another is dear."""
+        return {service for service, count in self._services.items() if count} | set(self._kept)
+
     def outbox(self, placer: str) -> Outbox:
         """The outbox to a placer, made at its first offer or stream."""
         return self._told.outbox(placer)
