--- a/kelpfront/lab/experiments/plan.py
+++ b/kelpfront/lab/experiments/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Literal
@@ -138,8 +139,8 @@
 
 
 def _unique(names: list[str], place: str) -> None:
-    for name in names:
-        if names.count(name) > 1:
+    for name, count in Counter(names).items():
+        if count > 1:
             raise PlanError(f"{place}: {name!r} is there twice")
 
 
