Traces of tasks by OpenTelemetry, and the best that hindsight could have done

Where a slow or failed task's time went could only be guessed. [tracing] file writes one trace a task (waits, attempts, its time on the machine), made once from the record that the placer keeps, so placing notes nothing more; owners hand on theirs by an annotation; lab traces draws the slowest and the failed ones.

--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -425,6 +425,75 @@
     click.echo(json.dumps(schema(), indent=2))
 
 
+@lab.command("bound")
+@click.argument("day")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--slot", default=500.0, show_default=True, help="Milliseconds of one step of time.")
+@click.option("--exact", is_flag=True, help="Single machines and whole tasks; for short days only.")
+@click.option("--policy", type=click.Choice(POLICIES), default="rules", show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def bound(day: str, seed: int, slot: float, exact: bool, policy: str, as_json: bool) -> None:
+    """Play DAY and say how far its worth is from the best that an optimiser finds with hindsight.
+
+    The bound errs to the high side: no placer can reach it, since it knows what will come and go.
+    """
+    from kelpfront.lab.bound import BoundError, best, machines_of, work_of
+    from kelpfront.lab.policies import heart_of
+    from kelpfront.lab.timeline.emulation import play
+
+    if not 10.0 <= slot <= 60_000.0:
+        fail(f"--slot: {slot:g} is not between 10 and 60000")
+    played = play(_read_day(day), seed, heart_class=heart_of(policy))
+    work = work_of(played.lines, played.config, 1.0, 1.0)
+    try:
+        found = best(work, machines_of(played.lines, played.config), slot, "exact" if exact else "pool")
+    except BoundError as error:
+        fail(str(error))
+    reached = played.figures["measures"]["worth"]
+    figures = {
+        "day": played.figures["day"],
+        "policy": policy,
+        "seed": seed,
+        "worth": round(reached),
+        "bound": round(found.worth),
+        "share": round(reached / found.worth, 4) if found.worth else 1.0,
+        "placed": played.figures["answers"].get("Placed", 0),
+        "bound_placed": round(found.placed, 1),
+        "asked": len(work),
+        "variables": found.variables,
+    }
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+
+
+@lab.command("traces")
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True, dir_okay=False)
+)
+@click.option("--slowest", default=3, show_default=True, help="Of those that were placed.")
+@click.option("--failed", default=3, show_default=True, help="Of those that were refused, failed or lost.")
+@click.option("--task", default="", help="Only this one, by its uid.")
+def traces(files: tuple[Path, ...], slowest: int, failed: int, task: str) -> None:
+    """Show traces of tasks that a placer wrote ([tracing] file) as waterfalls: where their time went.
+
+    Bars are to the scale of the time to the answer; times are milliseconds from the submission.
+    """
+    from kelpfront.lab.traces import TracesError, chosen, read_traces, waterfall
+
+    try:
+        found = read_traces(files)
+    except TracesError as error:
+        fail(str(error))
+    shown = chosen(found, slowest, failed, task)
+    if not shown:
+        fail("no trace of that task" if task else "no traces in these files")
+    for one in shown:
+        table = plain_table("WHAT", "MS", "")
+        for row in waterfall(one):
+            table.add_row(*row)
+        console().print(table)
+        click.echo()
+
+
 @lab.command("search")
 @click.option("--runs", default=100, show_default=True, help="Random days, one a seed.")
 @click.option("--seed", default=1, show_default=True, help="The first.")
--- a/kelpfront/cli/serve.py
+++ b/kelpfront/cli/serve.py
@@ -37,6 +37,8 @@
     its = load_config(config_path, overrides)
     if its.placer.grpc is not None and importlib.util.find_spec("grpc") is None:
         fail("[placer] grpc: the gRPC API needs more packages: pip install 'kelpfront[grpc]'")
+    if its.tracing.file is not None and importlib.util.find_spec("opentelemetry") is None:
+        fail("[tracing] file: tracing needs more packages: pip install 'kelpfront[tracing]'")
     path = inventory or config_path.parent / its.placer.inventory
     its = its.model_copy(update={"placer": its.placer.model_copy(update={"inventory": str(path)})})
     configure_logs(its.log.level, its.log.format, placer=its.placer.name)
--- a/kelpfront/config/model.py
+++ b/kelpfront/config/model.py
@@ -388,6 +388,16 @@
     )
 
 
+class TracingSection(Section):
+    """Traces of tasks, by OpenTelemetry."""
+
+    file: Text | None = Field(None, description="Where they are written, as JSON lines; nowhere if absent.")
+    share: Annotated[float, Number(0, 1)] = Field(1.0, description="Of the tasks, those that are traced.")
+    most: Annotated[int, Size("64 KiB", "64 GiB")] = Field(
+        64 << 20, description="The file's size; at it the file is set aside as NAME.1, the one before goes."
+    )
+
+
 class Config(Section):
     """All settings of a placer."""
 
@@ -398,6 +408,7 @@
     limits: LimitsSection = LimitsSection()
     levels: LevelsSection = LevelsSection()
     log: LogSection = LogSection()
+    tracing: TracingSection = TracingSection()
     kinds: dict[str, KindSection] = Field(min_length=1)
     classes: dict[str, ClassSection] = Field(min_length=1)
     owners: dict[str, OwnerSection] = Field(default_factory=dict)
@@ -411,6 +422,7 @@
     "limits": LimitsSection,
     "levels": LevelsSection,
     "log": LogSection,
+    "tracing": TracingSection,
 }
 NAMED_SECTIONS: dict[str, tuple[str, type[Section]]] = {
     "kind": ("kinds", KindSection),
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -170,6 +170,7 @@
                 clock=self._clock(self.skews.get(placer.name, 0.0)),
                 heart_class=self._heart_class,
                 stopwatch=self.loop.time,
+                threads=False,
             )
             placer.service = service
             decides = service.heart._scheduler
@@ -320,7 +321,7 @@
         except (ApiError, ServerUnreachableError) as error:
             code = str(error.code) if isinstance(error, ApiError) else "unreachable"
             self.rejected[code] += 1
-            self.recorder.write("rejected", code=code)
+            self.recorder.write("rejected", code=code, cls=cls, t0=sent_at)
             return
         assert job.status is not None
         uids = [task.uid for task in job.status.tasks]
@@ -417,6 +418,8 @@
     overrides: Sequence[str] = (),
 ) -> Played:
     """Runs a day; RealWorldError where something of it read the real clock, chance or a socket."""
+    if any(its.startswith("tracing.") for its in overrides) or "[tracing]" in day.settings:
+        import kelpfront.tracing.export  # noqa: F401 - it draws identities when it is first imported
     loop = VirtualLoop()
     network = loop.network = Network(seed)
     kept = structlog.get_config()
--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from kelpfront.fronts.grpc import GrpcFront
+    from kelpfront.tracing.export import Tracer
 
 log = structlog.get_logger("kelpfront.placer")
 
@@ -57,8 +58,12 @@
         heart_class: type[Heart] = Heart,
         times: WatchTimes | None = None,
         stopwatch: Callable[[], float] = time.perf_counter,
+        threads: bool = True,
     ) -> None:
-        """`stopwatch` tells seconds of the process's own time, for what work costs."""
+        """`stopwatch` tells seconds of the process's own time, for what work costs.
+
+        `threads` False: there are none, and traces are written at once.
+        """
         self.config = config
         self.clock = clock or CommonClock()
         chance = random.Random(seed if seed is not None else config.placer.seed)
@@ -72,6 +77,12 @@
                 watch_buffer=limits.watch_buffer,
             ),
         )
+        self._threads = threads
+        self._tracer = self._make_tracer(chance)
+        if self._tracer is not None:
+            from kelpfront.tracing.heart import traced
+
+            heart_class = traced(heart_class, self._tracer.write, self.clock.now)
         self.heart = heart_class(
             build_cluster(config),
             self.store,
@@ -131,6 +142,23 @@
         self._stopping = False
         self._stopped = asyncio.Event()
 
+    def _make_tracer(self, chance: random.Random) -> Tracer | None:
+        its = self.config.tracing
+        if its.file is None:
+            return None
+        from kelpfront.tracing.export import Tracer
+
+        apart = random.Random(0)  # a run with traces draws what one without them draws
+        apart.setstate(chance.getstate())
+        return Tracer(
+            Path(its.file),
+            self.config.placer.name,
+            share=its.share,
+            most_bytes=its.most,
+            seed=apart.getrandbits(32),
+            at_once=not self._threads,
+        )
+
     @staticmethod
     def _uid(chance: random.Random) -> str:
         return str(uuid.UUID(int=chance.getrandbits(128), version=4))
@@ -226,6 +254,8 @@
             if task is not asyncio.current_task():
                 task.cancel()
         await asyncio.gather(*(link.close() for link in self.links.values()))
+        if self._tracer is not None:
+            self._tracer.close()
 
     async def run(self, on_start: Callable[[PlacerService], None] = lambda service: None) -> None:
         """Serves until SIGTERM or SIGINT; a second one ends at once."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -54,8 +54,10 @@
         "kelpfront.config",
         "kelpfront.http",
         "kelpfront.fronts",
+        "kelpfront.tracing",
         "kelpfront.v1",
     },
+    "tracing": {"kelpfront.api", "kelpfront.placer"},
 }
 PURE = (
     "api",
@@ -75,6 +77,7 @@
     "agent": {"orphans", "recovery", "usage"},
     "client": {"informer", "retry"},
     "fronts": {"session"},
+    "tracing": {"heart", "spans"},
     "machine": {
         "admission",
         "convert",
