--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -9,13 +9,15 @@
 import re
 import sys
 import tempfile
+import time
 from pathlib import Path
+from resource import RUSAGE_SELF, getrusage
 from typing import TYPE_CHECKING, Any
 
 import click
 
 from kelpfront.cli.common import console, fail, plain_table, set_option
-from kelpfront.cli.experiments import experiment, report
+from kelpfront.cli.experiments import day_text, experiment, report
 from kelpfront.cli.load import load
 
 if TYPE_CHECKING:
@@ -348,14 +350,19 @@
 # ---- Virtual time -----------------------------------------------------------------------------------------
 
 
-def _read_day(name: str) -> Day:
-    """A day of the laboratory's own by name, or of a file."""
+def _read_day(name: str, changes: tuple[str, ...] = ()) -> Day:
+    """A day of the laboratory's own by name, or of a file; with FIELD=VALUE put over its fields."""
     from kelpfront.lab.timeline.script import ScriptError, read_day
 
-    own = Path(__file__).parent.parent / "lab" / "days" / f"{name}.yaml"
-    path = own if "/" not in name and own.exists() else Path(name)
     try:
-        return read_day(path.read_text(encoding="utf-8"), str(name))
+        text = day_text(name)
+        for change in changes:
+            field, mark, value = change.partition("=")
+            if not mark or not re.fullmatch(r"[a-z_]+", field):
+                fail(f"--day: {change!r} is not FIELD=VALUE")
+            lines = [line for line in text.splitlines() if not line.startswith(f"{field}:")]
+            text = "\n".join([*lines, f"{field}: {value}", ""])
+        return read_day(text, str(name))
     except OSError as error:
         fail(f"{name}: {error.strerror}; a file, or one of {', '.join(_own_days())}")
     except UnicodeDecodeError as error:
@@ -374,9 +381,18 @@
 @click.option("--log", is_flag=True, help="Show what the program logs, with virtual seconds.")
 @click.option("--policy", type=click.Choice(POLICIES), default="rules", show_default=True)
 @set_option
+@click.option("--sockets", is_flag=True, help="In real time, on sockets of this host; decided by the rules.")
+@click.option("--day", "changes", multiple=True, metavar="FIELD=VALUE", help="Put over a field of the day.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def emulate_day(
-    day: str, seed: int, log: bool, policy: str, overrides: tuple[str, ...], as_json: bool
+    day: str,
+    seed: int,
+    log: bool,
+    policy: str,
+    overrides: tuple[str, ...],
+    sockets: bool,
+    changes: tuple[str, ...],
+    as_json: bool,
 ) -> None:
     """Play a day in virtual time: real placers, machines and clients on a network in memory.
 
@@ -390,10 +406,29 @@
     def show(line: dict[str, Any]) -> None:
         click.echo(json.dumps(line), err=True)
 
+    its = _read_day(day, changes)
+    if sockets:
+        from kelpfront.lab.timeline.script import ScriptError
+        from kelpfront.lab.timeline.sockets import play_on_sockets
+        from kelpfront.service.logs import configure_logs
+
+        configure_logs("error", "auto")
+        try:
+            figures = play_on_sockets(its, seed)
+        except ScriptError as error:
+            fail(str(error))
+        click.echo(json.dumps(figures, indent=None if as_json else 2))
+        if figures["violations"]:
+            raise SystemExit(1)
+        return
+    began = time.perf_counter()
     try:
-        figures = play(_read_day(day), seed, show if log else None, heart_of(policy), overrides).figures
+        figures = play(its, seed, show if log else None, heart_of(policy), overrides).figures
     except ConfigError as error:
         fail(f"--set: {error}")
+    took, virtual = time.perf_counter() - began, its.seconds + its.settle_s
+    peak = getrusage(RUSAGE_SELF).ru_maxrss / 1024
+    click.echo(f"{virtual:g} virtual s in {took:.1f} s ({virtual / took:.2f} a s), {peak:.0f} MiB", err=True)
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     if figures["violations"] or figures["reached_outside"]:
         raise SystemExit(1)
@@ -498,19 +533,27 @@
 @click.option("--runs", default=100, show_default=True, help="Random days, one a seed.")
 @click.option("--seed", default=1, show_default=True, help="The first.")
 @click.option("--wrong", default="", help="Search with a placer that is wrong on purpose, by its name.")
+@click.option("--planted", is_flag=True, help="Say after how many runs each wrong placer is found.")
 @click.option("--processes", default=os.cpu_count() or 1, show_default="one a core")
 @click.option("--most", default=5, show_default=True, help="Stop at so many days that break a rule.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Write these days, made small, to a folder.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 def search_days(
-    runs: int, seed: int, wrong: str, processes: int, most: int, keep: Path | None, as_json: bool
+    runs: int,
+    seed: int,
+    wrong: str,
+    planted: bool,
+    processes: int,
+    most: int,
+    keep: Path | None,
+    as_json: bool,
 ) -> None:
     """Play random days in virtual time and judge each by the rules; what fails is made small.
 
-    Exit code 1 if a day broke a rule.
+    Exit code 1 if a day broke a rule; with --planted, if a wrong placer was not found.
     """
+    from kelpfront.lab.timeline.search import find_all_planted, search
     from kelpfront.lab.timeline.search import keep as keep_day
-    from kelpfront.lab.timeline.search import search
     from kelpfront.lab.wrongplacers import WRONG
 
     if wrong and wrong not in WRONG:
@@ -520,6 +563,12 @@
         if sys.stderr.isatty() or not as_json:
             click.echo(text, err=True)
 
+    if planted:
+        every = find_all_planted(seed, runs, processes, say)
+        click.echo(json.dumps([{"name": p.name, "runs": p.runs, "rule": p.rule} for p in every]))
+        if any(p.runs is None for p in every):
+            raise SystemExit(1)
+        return
     done, found = search(seed, runs, wrong, processes, most, say)
     for one in found:
         if keep is not None:
--- a/kelpfront/lab/bound.py
+++ b/kelpfront/lab/bound.py
@@ -1,13 +1,12 @@
 """The best that could be done with a day, by an optimiser that sees all of it before it begins.
 
-Time is cut into slots. Each piece of work may start once, in a slot between its submission and its deadline,
-and then takes its cores and memory until it ends; what is placed is worth what `measures` says. HiGHS maximises
-that (https://highs.dev, by scipy). The bound errs to the high side: starts cost nothing, machines are full to
-what they accept, ends are rounded down, drains, cold machines, spread and failing classes are not heard of.
-`pool` takes all machines of a slot as one and solves the linear relaxation; `exact` places on single machines
-in whole pieces.
-
-Work that never ran has no length: it counts with the mean of its class on that day, the only estimate in here.
+Time is cut into slots. Each piece of work may start once, in a slot between its submission and its deadline;
+it then takes its cores and memory until it ends, and is worth what `measures` says. HiGHS maximises the sum
+(https://highs.dev, by scipy). The bound errs to the high side: starts cost nothing, machines fill to what
+they accept, ends are rounded down, drains, cold machines, spread and failing classes are not heard of.
+`pool` takes all machines of a slot as one and solves the linear relaxation; `exact` places on single ones.
+
+Work that never ran has no length: it counts with the mean of its class on that day, the only estimate here.
 """
 
 from __future__ import annotations
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -78,6 +78,8 @@
 class Emulation:
     """One day. `run` is to be called on a `VirtualLoop` with a `Network`."""
 
+    standin: type[StandIn] = PlacedStandIn
+
     def __init__(
         self,
         day: Day,
@@ -91,6 +93,7 @@
         self._heart_class, self._overrides = heart_class, tuple(overrides)
         self.day, self.seed, self.loop, self.network = day, seed, loop, network
         self.rng = random.Random(f"emulation/{seed}")
+        self.epoch_s = EPOCH_S
         self.clock = self._clock()
         self.recorder = Recorder("emulation", clock=self.clock.now)
         self.config = self._config(0)
@@ -105,7 +108,7 @@
             seed,
             self.clock.now,
             self.recorder,
-            standin=PlacedStandIn,
+            standin=self.standin,
         )
         self.placers = [EmulatedPlacer(number, f"p{number}") for number in range(day.placers)]
         self.samples: list[Sample] = []
@@ -117,13 +120,13 @@
 
     def _clock(self, skew_ms: float = 0.0) -> CommonClock:
         steady = self.loop.time
-        return CommonClock(lambda: EPOCH_S + skew_ms / 1000.0 + steady(), steady)
+        return CommonClock(lambda: self.epoch_s + skew_ms / 1000.0 + steady(), steady)
 
-    def _config(self, number: int) -> Config:
+    def _config(self, number: int, listen: str = "127.0.0.1:0") -> Config:
         overrides = (
             f"placer.name=p{number}",
             f"placer.number={number}",
-            f"placer.listen=p{number}:{API_PORT}",
+            f"placer.listen={listen}",
             f"cluster.placers={self.day.placers}",
             *self._overrides,
         )
@@ -161,10 +164,16 @@
         figures = await self._end(trouble.faults)
         return figures
 
+    def placer_config(self, placer: EmulatedPlacer) -> Config:
+        return self._config(placer.number, f"{placer.name}:{API_PORT}")
+
+    def url_of(self, placer: EmulatedPlacer) -> str:
+        return f"http://{placer.name}:{API_PORT}"
+
     async def start_placer(self, placer: EmulatedPlacer) -> None:
         with at(placer.name):
             service = PlacerService(
-                self._config(placer.number),
+                self.placer_config(placer),
                 self.inventory,
                 seed=self.rng.getrandbits(32),
                 clock=self._clock(self.skews.get(placer.name, 0.0)),
@@ -295,9 +304,9 @@
     def _client(self, placer: EmulatedPlacer, rng: random.Random) -> Client:
         skew_s = self.skews.get("owners", 0.0) / 1000.0
         return Client(
-            f"http://{placer.name}:{API_PORT}",
+            self.url_of(placer),
             seed=rng.getrandbits(32),
-            wall=lambda: EPOCH_S + skew_s + self.loop.time(),
+            wall=lambda: self.epoch_s + skew_s + self.loop.time(),
         )
 
     def _new_owner(self, rng: random.Random, client: Client, placer: EmulatedPlacer) -> None:
--- a/kelpfront/lab/timeline/search.py
+++ b/kelpfront/lab/timeline/search.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import copy
+import itertools
 import multiprocessing
 import random
 from collections.abc import Callable, Iterator
@@ -17,7 +18,8 @@
 
 import yaml
 
-from kelpfront.lab.timeline.emulation import emulate
+from kelpfront.lab.timeline.emulation import EmulationError, emulate
+from kelpfront.lab.timeline.loop import DeadlockError, LivelockError
 from kelpfront.lab.timeline.script import Day, DayScript
 from kelpfront.lab.wrongplacers import WRONG
 from kelpfront.placer.heart import Heart
@@ -128,8 +130,15 @@
 
 
 def broken_rules(data: dict[str, Any], seed: int, heart_class: type[Heart] = Heart) -> dict[str, str]:
-    """Rules that a day breaks, with an example each; a run that reaches outside breaks `virtual-time`."""
-    figures = emulate(Day(DayScript.model_validate(data)), seed, heart_class=heart_class)
+    """Rules that a day breaks, with an example each.
+
+    A run that reaches outside breaks `virtual-time`; one in which the program raises, or goes on for ever
+    without any time passing, breaks `program`.
+    """
+    try:
+        figures = emulate(Day(DayScript.model_validate(data)), seed, heart_class=heart_class)
+    except (EmulationError, DeadlockError, LivelockError) as error:
+        return {"program": f"program: {error}"}
     found: dict[str, str] = {}
     for example in figures["examples"]:
         found.setdefault(example.partition(":")[0], example)
@@ -228,6 +237,36 @@
     return runs, found
 
 
+@dataclass(frozen=True, slots=True)
+class Planted:
+    """A placer that is wrong on purpose, and after how many random days it broke a rule; None: never."""
+
+    name: str
+    runs: int | None
+    rule: str = ""
+
+
+def find_planted(name: str, first: int, most: int) -> Planted:
+    for number in range(most):
+        rules = broken_rules(random_day(first + number), first + number, WRONG[name])
+        if rules:
+            return Planted(name, number + 1, min(rules))
+    return Planted(name, None)
+
+
+def find_all_planted(
+    first: int, most: int, processes: int, say: Callable[[str], None] = lambda text: None
+) -> list[Planted]:
+    """Each wrong placer by itself, in the order of their names."""
+    context = multiprocessing.get_context("spawn")
+    found = []
+    with ProcessPoolExecutor(max(1, processes), mp_context=context) as pool:
+        for one in pool.map(find_planted, WRONG, itertools.repeat(first), itertools.repeat(most)):
+            say(f"{one.name}: {'not found' if one.runs is None else f'{one.rule} after {one.runs} runs'}")
+            found.append(one)
+    return found
+
+
 def keep(found: Found, folder: Path) -> Path:
     """Writes a day that broke a rule as a script, with the seed that it needs."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/kelpfront/lab/wrongplacers.py
+++ b/kelpfront/lab/wrongplacers.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import replace
 from typing import Any
 
+import msgspec
+
 from kelpfront import interface as api
 from kelpfront.api.jobs import TaskState
 from kelpfront.api.machines import State
+from kelpfront.machine import messages as wire
 from kelpfront.placer.heart import Heart
 from kelpfront.placer.intents import SendOffer
 from kelpfront.placer.offers import make_offer
@@ -142,6 +146,29 @@
         )
 
 
+class LosesWatchEvents(Heart):
+    """Rule 1: each ninth change of the store is kept and shown to no watch, so that owners miss answers."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        record, changes = self.store._record, itertools.count(1)
+
+        def gapped(table: Any, change: Any) -> None:
+            if next(changes) % 9:
+                record(table, change)
+
+        self.store._record = gapped  # type: ignore[method-assign]
+
+
+class TrustsTheFirstDrain(Heart):
+    """Rule 3: that a machine drains is heard, and forgotten with its next word."""
+
+    def stream_message(self, now: float, host: str, message: Any) -> None:
+        if isinstance(message, wire.Heartbeat) and message.state == "draining":
+            message = msgspec.structs.replace(message, state="ready")
+        super().stream_message(now, host, message)
+
+
 WRONG: dict[str, type[Heart]] = {
     heart.__name__: heart
     for heart in (
@@ -157,5 +184,7 @@
         DeafToDrains,
         BlindToCold,
         Crowds,
+        LosesWatchEvents,
+        TrustsTheFirstDrain,
     )
 }
