--- a/kelpfront/lab/load/arrivals.py
+++ b/kelpfront/lab/load/arrivals.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from io import StringIO
-from typing import Literal
+from typing import Any, Literal
 
 TRACE_MOST = 2_000_000  # rows
 TRACE_COLUMNS = ("at_s", "class", "service", "cores", "memory", "patience")
@@ -112,6 +112,13 @@
 def read_trace(text: str, source: str, classes: Sequence[str]) -> list[Arrival]:
     """A trace's arrivals in the order of their times; TraceError names row, column and what is allowed."""
     reader = csv.reader(StringIO(text))
+    try:
+        return _read_rows(reader, source, classes)
+    except csv.Error as error:
+        raise TraceError(f"{source}:{reader.line_num}: is not CSV: {error}") from None
+
+
+def _read_rows(reader: Any, source: str, classes: Sequence[str]) -> list[Arrival]:
     header = next(reader, None)
     if header is None or [name.strip() for name in header] != list(TRACE_COLUMNS):
         raise TraceError(f"{source}:1: the columns are {','.join(TRACE_COLUMNS)}")
--- a/kelpfront/lab/recording.py
+++ b/kelpfront/lab/recording.py
@@ -4,8 +4,10 @@
 happened). Recorders know nothing of a placer's inside; `checker` judges from these lines alone.
 
 Events of machines: `boot`, `down`, `fell`, `told`, `offer`, `answer`, `left`, `start`, `end`, `gone-told`.
+Seen of a placer from outside, in virtual time: `sent-out` (an offer), `left`.
 Events of clients: `submit`, `taken`, `rejected`, `answer-seen`, `withdrawn`, `drain-asked`.
-Events of the day's director: `placer-up`, `placer-killed`, `placer-stalled`, `agent-killed`, `fault`.
+Events of the day's director: `placer-up`, `placer-killed`, `placer-stalled`, `cut`, `healed`,
+`agent-killed`, `fault`.
 """
 
 from __future__ import annotations
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -496,3 +496,10 @@
     with pytest.raises(ScriptError) as caught:
         read_day(SHORT + text, "test")
     assert named in str(caught.value)
+
+
+def test_a_drain_that_is_told_over_a_cut_counts_from_when_it_is_heard() -> None:
+    """A day of the search: told at 10.4 s and heard at 12.1 s, where an offer came out of the cut with it."""
+    assert broken_rules(random_day(15), 15) == {}
+    assert "drains" in broken_rules(random_day(15), 15, WRONG["DeafToDrains"])
+    assert "drains" in broken_rules(random_day(15), 15, WRONG["TrustsTheFirstDrain"])
