--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -460,6 +460,29 @@
     click.echo(json.dumps(schema(), indent=2))
 
 
+@lab.command("growth")
+@click.option("--sizes", default="10,81,300,1000,3000,5000", show_default=True, help="Machines.")
+@click.option("--tasks", default=40, show_default=True, help="In one round of one size.")
+@click.option("--rounds", default=5, show_default=True)
+@click.option("--plot", "plot_to", type=click.Path(path_type=Path), help="Draw both costs as PNG.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def growth(sizes: str, tasks: int, rounds: int, plot_to: Path | None, as_json: bool) -> None:
+    """Measure how the cost of a decision, and of machines that come up, grows with the fleet: no sockets."""
+    from kelpfront.lab.growth import measure_growth, plot_growth
+
+    if not re.fullmatch(r"[1-9][0-9]{0,4}(,[1-9][0-9]{0,4})*", sizes):
+        fail(f"--sizes: {sizes!r} is not numbers from 1 to 99999 with commas between them")
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    results = measure_growth([int(size) for size in sizes.split(",")], tasks, rounds, say)
+    if plot_to is not None:
+        plot_growth(results, plot_to)
+    click.echo(json.dumps({"results": results}, indent=None if as_json else 2))
+
+
 @lab.command("bound")
 @click.argument("day")
 @click.option("--seed", default=1, show_default=True)
--- a/kelpfront/lab/recording.py
+++ b/kelpfront/lab/recording.py
@@ -7,7 +7,7 @@
 Seen of a placer from outside, in virtual time: `sent-out` (an offer), `left`.
 Events of clients: `submit`, `taken`, `rejected`, `answer-seen`, `withdrawn`, `drain-asked`.
 Events of the day's director: `placer-up`, `placer-killed`, `placer-stalled`, `cut`, `healed`,
-`agent-killed`, `fault`.
+`agent-killed`, `fault`, `day-over`.
 """
 
 from __future__ import annotations
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -370,6 +370,7 @@
     # ---- The end --------------------------------------------------------------------------------------
 
     async def _end(self, faults: tuple[Fault, ...]) -> dict[str, Any]:
+        self.recorder.write("day-over")
         for task in list(self._work):
             task.cancel()
         await asyncio.gather(*self._work, return_exceptions=True)
@@ -389,6 +390,7 @@
             "answers": dict(sorted(self.answers.items())),
             "rejected": dict(sorted(self.rejected.items())),
             "without_final": verdict.without_final,
+            "open_at_end": verdict.open_at_end,
             "starts": verdict.starts,
             "offers": verdict.offers,
             "faults": len(faults),
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -16,6 +16,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from kelpfront.cli.experiments import DAYS, PLANS, day_text
 from kelpfront.config.reader import parse_config
 from kelpfront.lab.experiments.compare import compare, estimate
 from kelpfront.lab.experiments.measures import MEASURES, Sample, measure, percentile, series
@@ -104,6 +105,13 @@
     assert len({before, changed, code_digest(tmp_path)}) == 3
 
 
+def test_the_laboratorys_own_plans_and_days_can_be_run() -> None:
+    for path in PLANS.glob("*.yaml"):
+        assert len(read_plan(path.read_text(), path.name, day_text).runs()) > 10
+    for path in DAYS.glob("*.yaml"):
+        read_day(path.read_text(), path.name)
+
+
 # ---- Results ----------------------------------------------------------------------------------------------
 
 
@@ -171,6 +179,7 @@
     )
     path = tmp_path / "plan.sqlite"
     command = [sys.executable, "-m", "kelpfront", "lab", "experiment", str(plan), "--processes", "1"]
+    command += ["--results", str(path)]
     process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     try:
         until = time.monotonic() + 60.0
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -503,3 +503,14 @@
     assert broken_rules(random_day(15), 15) == {}
     assert "drains" in broken_rules(random_day(15), 15, WRONG["DeafToDrains"])
     assert "drains" in broken_rules(random_day(15), 15, WRONG["TrustsTheFirstDrain"])
+
+
+def test_what_is_not_due_when_a_day_is_broken_off_is_no_fault_and_what_is_due_is() -> None:
+    crowded = SHORT.replace("machines: 3", "machines: 1").replace("settle: 8", "settle: 1")
+    crowded += "herds:\n  - {at: 3.5, jobs: 160}\n"
+    cut_short = emulate(read_day(crowded, "test"), 1)
+    assert cut_short["violations"] == 0
+    assert cut_short["open_at_end"] > 10
+    whole = read_day(crowded.replace("settle: 1", "settle: 8"), "test")
+    assert emulate(whole, 1)["open_at_end"] == 0
+    assert emulate(whole, 1, heart_class=WRONG["ForgetsToAnswer"])["by_rule"]["one-answer"]
