--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -396,8 +396,9 @@
 ) -> None:
     """Play a day in virtual time: real placers, machines and clients on a network in memory.
 
-    DAY is a file, or one of the laboratory's own: bad, calm, clocks, partition, rolling, room, silent,
-    stalled. The same day and seed give the same digest on every machine. Exit code 1 if a rule was broken.
+    DAY is a file, or one of the laboratory's own: bad, calm, clocks, kinds, partition, rolling, room,
+    silent, stalled. The same day and seed give the same digest on every machine. Exit code 1 if a rule was
+    broken.
     """
     from kelpfront.config import ConfigError
     from kelpfront.lab.policies import heart_of
--- a/kelpfront/lab/fleet.py
+++ b/kelpfront/lab/fleet.py
@@ -30,6 +30,7 @@
     "class-fail",
     "class-full",
     "list-lag",
+    "heavy",
 ]
 
 
@@ -43,6 +44,7 @@
     - neighbour: another program takes a share `value` of the machine.
     - class-fail: a share `value` of the starts of class `cls` fails, `how` "error" or "silence".
     - class-full: class `cls` is turned away above `value` offers a second, though there is room.
+    - heavy: a share `value` of the tasks of class `cls` that start live `times` as long.
     - list-lag: what heartbeats tell of room is `value` ms old.
     """
 
@@ -53,6 +55,7 @@
     value: float = 0.0
     cls: str = ""
     how: str = ""
+    times: float = 1.0
 
 
 class FleetModel(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -165,6 +168,8 @@
                 troubles.failing[fault.cls] = fault.value, fault.how
             case "class-full":
                 troubles.full[fault.cls] = fault.value
+            case "heavy":
+                troubles.heavy[fault.cls] = fault.value, fault.times
             case "list-lag":
                 troubles.list_lag_ms = fault.value
 
@@ -188,6 +193,8 @@
                 troubles.failing.pop(fault.cls, None)
             case "class-full":
                 troubles.full.pop(fault.cls, None)
+            case "heavy":
+                troubles.heavy.pop(fault.cls, None)
             case "list-lag":
                 troubles.list_lag_ms = 0.0
 
--- a/kelpfront/lab/standin.py
+++ b/kelpfront/lab/standin.py
@@ -80,6 +80,7 @@
     reset_share: float = 0.0  # of answers that are lost with their connection
     failing: dict[str, tuple[float, str]] = field(default_factory=dict)  # class: share, "error" or "silence"
     full: dict[str, float] = field(default_factory=dict)  # class: offers a second above which it says full
+    heavy: dict[str, tuple[float, float]] = field(default_factory=dict)  # class: share, times as long
     list_lag_ms: float = 0.0  # heartbeats tell of so long ago
 
 
@@ -397,6 +398,8 @@
         work = model.start_ms * (self.model.dear if begin.dear else 1.0) / pace * chance.uniform(0.8, 1.3)
         self.record("start", task=offer.task, attempt=offer.attempt, placer=begin.placer, key=offer.key)
         life = min(chance.expovariate(1.0 / model.life_ms), 6 * model.life_ms)
+        heavy, times = self.troubles.heavy.get(offer.cls, (0.0, 1.0))
+        life *= times if heavy and chance.random() < heavy else 1.0
         self._later(work / 1000.0, self._started, offer.task, life)
 
     def _started(self, task: str, life_ms: float) -> None:
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -99,6 +99,8 @@
         self.config = self._config(0)
         kinds = [(name, kind.cores, kind.memory) for name, kind in self.config.kinds.items()]
         model = FleetModel(start_ms=day.start_ms, life_ms=day.life_ms)
+        self._hot: tuple[tuple[float, float, float], ...] = ()
+        self._began = 0.0
         self.skews: dict[str, float] = {}  # milliseconds by place, of clocks that are wrong
         self.hosts = make_hosts(day.machines, day.rooms, kinds)
         self.fleet = Fleet(
@@ -137,7 +139,7 @@
     async def run(self) -> dict[str, Any]:
         planned = Inventory("day", {host.name: host for host in self.hosts})
         trouble = self.day.draw(self.rng, self.fleet.machines, planned)
-        self.skews = trouble.skews
+        self.skews, self._hot = trouble.skews, trouble.hot
         for name, standin in self.fleet.machines.items():
             if name in trouble.skews:
                 standin.now = self._clock(trouble.skews[name]).now
@@ -152,7 +154,7 @@
             self._spawn(self._kill(self.placers[kill.placer], kill.at_s, kill.for_s))
         for stall in trouble.stalls:
             self._spawn(self._stall(self.placers[stall.placer], stall.at_s, stall.for_s))
-        began = self.loop.time()
+        began = self._began = self.loop.time()
         self._spawn(self._observe(began))
         with at("owners"):
             for placer in self.placers:
@@ -324,7 +326,12 @@
         names = list(self.config.classes)
         self._jobs += 1
         cls = rng.choices(names, [self.day.mix.get(name, 1.0) for name in names])[0]
-        self._spawn(self._owner(client, placer, cls, rng.randrange(self.day.services), self._jobs))
+        service = rng.randrange(self.day.services)
+        passed = self.loop.time() - self._began
+        for begin, end, share in self._hot:
+            if begin <= passed < end and rng.random() < share:
+                service = 0
+        self._spawn(self._owner(client, placer, cls, service, self._jobs))
 
     async def _owner(
         self, client: Client, placer: EmulatedPlacer, cls: str, service: int, number: int
--- a/kelpfront/lab/timeline/script.py
+++ b/kelpfront/lab/timeline/script.py
@@ -86,7 +86,8 @@
     rack: str | None = Field(None, description="All of a rack; `any` draws one.")
     share: Range | None = Field(None, description="So many of all, drawn.")
     value: Range = Field(0.0, description="Milliseconds, a share, or offers a second, by kind.")
-    class_: str = Field("", alias="class", description="Of class-fail and class-full.")
+    class_: str = Field("", alias="class", description="Of class-fail, class-full and heavy.")
+    times: Range = Field(1.0, description="Of heavy: how much longer tasks live.")
     how: Literal["error", "silence"] = Field("error", description="Of class-fail.")
     at_a_time: int | None = Field(None, ge=1, description="In waves of so many machines, not all at once.")
     every: Range = Field(0.0, description="Seconds from one wave to the next.")
@@ -96,7 +97,7 @@
         given = [name for name in ("machines", "room", "rack", "share") if getattr(self, name) is not None]
         if len(given) != 1:
             raise ValueError(f"machines, room, rack or share: one of them is needed, {len(given)} are given")
-        if self.kind in ("class-fail", "class-full") and not self.class_:
+        if self.kind in ("class-fail", "class-full", "heavy") and not self.class_:
             raise ValueError(f"class: is needed for {self.kind}")
         return self
 
@@ -118,6 +119,12 @@
     ms: tuple[float, float] | float = Field(description="Milliseconds ahead; behind where negative.")
 
 
+class Hot(Happening):
+    """One service of each class gets more than its part of the jobs."""
+
+    share: Range = Field(description="Of all jobs that come meanwhile.")
+
+
 class Herd(Checked):
     """Many owners at once."""
 
@@ -163,6 +170,7 @@
     stalls: tuple[PlacerStall, ...] = Field((), description="Placers that stand still.")
     skews: tuple[Skew, ...] = Field((), description="Clocks that are wrong.")
     herds: tuple[Herd, ...] = ()
+    hot: tuple[Hot, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +206,7 @@
     stalls: tuple[Kill, ...]
     skews: dict[str, float]
     herds: tuple[Burst, ...]
+    hot: tuple[tuple[float, float, float], ...]  # from, until, share
 
 
 class Day:
@@ -223,11 +232,11 @@
             at_s, for_s = _draw(rng, fault.at), _draw(rng, fault.lasts)
             hosts = self._chosen(rng, fault, names, inventory)
             value = _draw(rng, fault.value)
-            every_s = _draw(rng, fault.every)
+            every_s, times = _draw(rng, fault.every), _draw(rng, fault.times)
             size = fault.at_a_time or max(1, len(hosts))
             for wave, first in enumerate(range(0, len(hosts), size)):
                 begins, its = at_s + wave * every_s, hosts[first : first + size]
-                faults.append(Fault(fault.kind, begins, for_s, its, value, fault.class_, fault.how))
+                faults.append(Fault(fault.kind, begins, for_s, its, value, fault.class_, fault.how, times))
         partitions = [
             Partition(
                 _draw(rng, cut.at),
@@ -242,7 +251,13 @@
         stalls = [Kill(_draw(rng, s.at), _draw(rng, s.lasts), s.placer) for s in self.script.stalls]
         skews = {skew.place: _draw(rng, skew.ms) for skew in self.script.skews}
         herds = [Burst(_draw(rng, h.at), _draw(rng, h.within), h.jobs) for h in self.script.herds]
-        return Trouble(tuple(faults), tuple(partitions), tuple(kills), tuple(stalls), skews, tuple(herds))
+        hot = []
+        for its_hot in self.script.hot:
+            begin = _draw(rng, its_hot.at)
+            hot.append((begin, begin + _draw(rng, its_hot.lasts), _draw(rng, its_hot.share)))
+        return Trouble(
+            tuple(faults), tuple(partitions), tuple(kills), tuple(stalls), skews, tuple(herds), tuple(hot)
+        )
 
     @staticmethod
     def _chosen(
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -16,7 +16,7 @@
 import pytest
 
 from kelpfront.inventory import Inventory
-from kelpfront.lab.timeline.emulation import Emulation, emulate
+from kelpfront.lab.timeline.emulation import Emulation, Played, emulate, play
 from kelpfront.lab.timeline.guard import RealWorldError, sealed
 from kelpfront.lab.timeline.loop import DeadlockError, LivelockError, VirtualLoop, run
 from kelpfront.lab.timeline.network import Network, at
@@ -514,3 +514,24 @@
     whole = read_day(crowded.replace("settle: 1", "settle: 8"), "test")
     assert emulate(whole, 1)["open_at_end"] == 0
     assert emulate(whole, 1, heart_class=WRONG["ForgetsToAnswer"])["by_rule"]["one-answer"]
+
+
+def test_a_hot_service_gets_its_share_and_heavy_tasks_live_longer() -> None:
+    plain = SHORT.replace("seconds: 4", "seconds: 8") + "services: 4\n"
+    hot = play(read_day(plain + "hot:\n  - {at: 0, lasts: 60, share: 1.0}\n", "test"), 1)
+    assert {line["service"].rpartition("-")[2] for line in hot.lines if line["ev"] == "offer"} == {"0"}
+    usual = play(read_day(plain, "test"), 1)
+    assert len({line["service"] for line in usual.lines if line["ev"] == "offer"}) > 6
+    heavy = (
+        plain + "faults:\n  - {kind: heavy, at: 0, lasts: 60, share: 1.0, class: web, value: 1.0, times: 8}\n"
+    )
+    slow = play(read_day(heavy, "test"), 1)
+
+    def lives(played: Played) -> float:
+        starts = {line["task"]: line["t"] for line in played.lines if line["ev"] == "start"}
+        of_web = {line["task"] for line in played.lines if line["ev"] == "offer" and line["cls"] == "web"}
+        ends = [(line["task"], line["t"]) for line in played.lines if line["ev"] == "end"]
+        found = [t - starts[task] for task, t in ends if task in of_web]
+        return sum(found) / len(found)
+
+    assert lives(slow) > 3 * lives(usual)
