--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -532,6 +532,6 @@
         of_web = {line["task"] for line in played.lines if line["ev"] == "offer" and line["cls"] == "web"}
         ends = [(line["task"], line["t"]) for line in played.lines if line["ev"] == "end"]
         found = [t - starts[task] for task, t in ends if task in of_web]
-        return sum(found) / len(found)
+        return float(sum(found) / len(found))
 
     assert lives(slow) > 3 * lives(usual)
