A callback that blocks is named with what it cost

The hard case of a callback that computes for long went unseen in virtual time, where nothing takes any. Each callback's own time on the host is looked at, and one over half a second is told with its name and virtual second; figures and digests stay as they are.

--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -424,10 +424,13 @@
         return
     began = time.perf_counter()
     try:
-        figures = play(its, seed, show if log else None, heart_of(policy), overrides).figures
+        played = play(its, seed, show if log else None, heart_of(policy), overrides)
     except ConfigError as error:
         fail(f"--set: {error}")
+    figures = played.figures
     took, virtual = time.perf_counter() - began, its.seconds + its.settle_s
+    for text in played.blocked:
+        click.echo(f"a callback blocked the loop for {text}", err=True)
     peak = getrusage(RUSAGE_SELF).ru_maxrss / 1024
     click.echo(f"{virtual:g} virtual s in {took:.1f} s ({virtual / took:.2f} a s), {peak:.0f} MiB", err=True)
     click.echo(json.dumps(figures, indent=None if as_json else 2))
--- a/kelpfront/lab/timeline/emulation.py
+++ b/kelpfront/lab/timeline/emulation.py
@@ -418,6 +418,7 @@
     lines: list[dict[str, Any]]
     samples: list[Sample]
     violations: list[tuple[float, str]]  # milliseconds, rule
+    blocked: list[str]  # callbacks that held up the loop
 
 
 def digest(lines: list[dict[str, Any]]) -> str:
@@ -498,4 +499,4 @@
         "measures": {name: round(value, 6) for name, value in measures.items()},
     }
     violations = [(one.t, one.rule) for one in emulation.verdict.violations]
-    return Played(figures, emulation.config, lines, samples, violations)
+    return Played(figures, emulation.config, lines, samples, violations, loop.blocked)
--- a/kelpfront/lab/timeline/loop.py
+++ b/kelpfront/lab/timeline/loop.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 import selectors
+import time
 from asyncio import events
 from collections.abc import Callable, Mapping
 from typing import Any, NoReturn
@@ -32,6 +33,11 @@
 HERE: contextvars.ContextVar[str] = contextvars.ContextVar("kelpfront-lab-place", default="outside")
 
 
+BLOCKED_S = 0.5  # of the host's time in one callback: it would hold up a real loop for as long
+BLOCKED_KEPT = 100
+_host_time = time.perf_counter  # the host's own, also where reading it is forbidden to what runs
+
+
 class _Callback(events.Handle):
     """A callback that waits where its party stands still."""
 
@@ -39,7 +45,10 @@
 
     def _run(self) -> None:
         if not self._loop.keeps_back(self):  # type: ignore[attr-defined]
+            began = _host_time()
             super()._run()
+            if _host_time() - began > BLOCKED_S:
+                self._loop.note_blocked(self, _host_time() - began)  # type: ignore[attr-defined]
 
 
 class _Timer(events.TimerHandle):
@@ -50,7 +59,10 @@
 
     def _run(self) -> None:
         if not self._loop.keeps_back(self):  # type: ignore[attr-defined]
+            began = _host_time()
             super()._run()
+            if _host_time() - began > BLOCKED_S:
+                self._loop.note_blocked(self, _host_time() - began)  # type: ignore[attr-defined]
 
     def __lt__(self, other: object) -> bool:
         if isinstance(other, _Timer):
@@ -91,6 +103,7 @@
         self._numbers = itertools.count()
         self.turns = 0
         self._still = 0
+        self.blocked: list[str] = []  # callbacks that took long on the host, by name; not the same on each
         self._stalled: dict[str, list[events.Handle]] = {}  # place: what it has not run
         super().__init__(_NoSelector(self._sleep))
         self._clock_resolution = RESOLUTION_S
@@ -143,6 +156,10 @@
         kept.append(handle)
         return True
 
+    def note_blocked(self, handle: events.Handle, took_s: float) -> None:
+        if len(self.blocked) < BLOCKED_KEPT:
+            self.blocked.append(f"{took_s:.1f} s at virtual second {self._virtual:.3f}: {handle!r}")
+
     def is_stalled(self, place: str) -> bool:
         return place in self._stalled
 
