--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import json
 import random
+import subprocess
+import sys
 from collections import Counter
+from pathlib import Path
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
+from kelpfront.cli.main import main
 from kelpfront.inventory import Inventory
 from kelpfront.lab.load.arrivals import Profile, TraceError, drawn, read_trace, write_trace
 from kelpfront.lab.load.ramp import Outcome, Ramp
@@ -192,7 +198,7 @@
         rate=50.0, seconds=10.0,
     )  # fmt: skip
 
-    async def main() -> Worker:
+    async def day_of_load() -> Worker:
         emulation = Emulation(day, 1, loop, network)
         hosts = await emulation.fleet.start()
         emulation.inventory = Inventory("test", {host.name: host for host in hosts})
@@ -209,7 +215,7 @@
         emulation.fleet.close()
         return worker
 
-    found: Worker = run(main(), loop)
+    found: Worker = run(day_of_load(), loop)
     return found
 
 
@@ -234,3 +240,48 @@
     counts = worker.results.counts["web"]
     assert counts["without_final"] > 100
     assert counts["Placed"] + counts["Refused"] + counts["Failed"] + counts["without_final"] == counts["due"]
+
+
+# ---- On sockets -------------------------------------------------------------------------------------------
+
+
+def run_load(*args: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "kelpfront", "lab", "load", *args]
+    return subprocess.run(command, capture_output=True, text=True, timeout=110)
+
+
+def test_a_run_on_sockets_accounts_for_every_job(tmp_path: Path) -> None:
+    trace = tmp_path / "trace.csv"
+    rows = [
+        f"{0.05 * n:.2f},{'web' if n % 2 else 'ingest'},s{n % 3},0.1,0.1,{'20s' if n % 5 else ''}"
+        for n in range(40)
+    ]
+    trace.write_text(HEADER + "\n".join(rows) + "\n")
+    done = run_load("--machines", "3", "--trace", str(trace), "--workers", "2", "--json")
+    assert done.returncode == 0, done.stderr
+    figures = json.loads(done.stdout)
+    counts = figures["counts"]
+    assert counts["due"] == counts["sent"] == 40
+    ends = ("Placed", "Refused", "Failed", "turned_away", "rejected", "unreachable", "without_final")
+    assert sum(counts.get(name, 0) for name in ends) == 40
+    assert counts["Placed"] > 30
+    assert figures["classes"]["web"]["counts"]["due"] == 20
+    assert (
+        figures["classes"]["web"]["from_due_ms"]["max"] >= figures["classes"]["web"]["from_due_ms"]["p50"] > 0
+    )
+
+
+@pytest.mark.parametrize(
+    ("args", "named"),
+    [
+        (["--server", "http://127.0.0.1:1"], "--config"),
+        (["--rate", "0"], "--rate"),
+        (["--ramp", "5", "--rate", "10"], "--first"),
+        (["--workers", "0"], "--workers"),
+        (["--peak", "0.5"], "--peak"),
+    ],
+)
+def test_options_that_cannot_be_are_named(args: list[str], named: str) -> None:
+    result = CliRunner().invoke(main, ["lab", "load", *args])
+    assert result.exit_code == 1
+    assert named in result.output
