A placer that stood still hears what lies unread before it acts on what is due

A timer over 100 ms late now waits for six turns of the loop. Owners' clocks that are wrong make answers late only for what lay unread, which is stated and not drawn together.

--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -41,6 +41,8 @@
 INVENTORY_LOOK_S = 2.0
 STOP_SLACK_S = 2.0  # past the last task's deadline
 LAG_LOOK_S = 0.25
+STOOD_STILL_MS = 100.0  # a timer that is later than this: the process was stopped, or its host
+HEARING_TURNS = 6  # of the loop: from bytes in a socket to the heart it takes up to four
 STARTING = "the placer starts: it asks its machines what they hold"
 STOPPING = "the placer stops: it answers what it has taken and takes no more"
 
@@ -138,6 +140,7 @@
         self._worked = asyncio.Event()
         self._armed: asyncio.TimerHandle | None = None
         self._armed_at = math.inf
+        self._hearing = False
         self._process = None if config.levels.memory is None else psutil.Process()
         self._stopping = False
         self._stopped = asyncio.Event()
@@ -367,8 +370,26 @@
             late_ms = now - self._armed_at
             self._latest_ms = max(self._latest_ms, late_ms)
             self.heart.levelling.sight.late(late_ms)
+            if late_ms > STOOD_STILL_MS and not self._hearing:
+                self._hearing = True
+                self._hear_first(HEARING_TURNS)
         self._armed, self._armed_at = None, math.inf
-        self.heart.advance(now)
+        if not self._hearing:
+            self._advance()
+
+    def _hear_first(self, turns: int) -> None:
+        """The process stood still: what lies in its sockets came before much of what is due now.
+
+        Without this an offer whose answer has come is timed out, and its task goes out once more.
+        """
+        if turns:
+            asyncio.get_running_loop().call_soon(self._hear_first, turns - 1)
+            return
+        self._hearing = False
+        self._advance()
+
+    def _advance(self) -> None:
+        self.heart.advance(self.clock.now())
         self._work()  # at once: what is due now may be an answer
 
     async def _look_after(self) -> None:
