--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -63,7 +63,6 @@
     "api",
     "levels",
     "rpc",
-    "store",
     "placer",
     "inventory",
     "rules",
@@ -77,6 +76,7 @@
     "agent": {"orphans", "recovery", "usage"},
     "client": {"informer", "retry"},
     "fronts": {"session"},
+    "store": {"records", "resources", "segments", "watch"},
     "tracing": {"heart", "spans"},
     "machine": {
         "admission",
