--- a/kelpfront/lab/faultyfiles.py
+++ b/kelpfront/lab/faultyfiles.py
@@ -1,7 +1,7 @@
 """A folder in memory that crashes: unsynced data is lost, torn or kept, as a seed says, and so are names.
 
 What it may do is what a POSIX file system may: data is safe after the file's sync, a name or its removal
-after the folder's. Between them anything may have reached the disk, in any order, and of the last write a part.
+after the folder's. Between them anything may have reached the disk in any order, and of a write a part.
 """
 
 from __future__ import annotations
--- a/kelpfront/store/journal.py
+++ b/kelpfront/store/journal.py
@@ -1,8 +1,9 @@
 """A write-ahead log in a folder: group commit, snapshots, and recovery that never lies.
 
 What `commit` has returned for is durable: it is there after any crash. What was appended and not committed
-may be there or not, a prefix of it. A commit that failed once ends the log: after a failed fsync nobody knows
-what the disk holds (https://lwn.net/Articles/752063/), so all that follows is refused until it is opened anew.
+may be there or not, a prefix of it. A commit that failed once ends the log: after a failed fsync nobody
+knows what the disk holds (https://lwn.net/Articles/752063/). All that follows is refused until it is opened
+anew.
 """
 
 from __future__ import annotations
