An answer that lay in a cut when its offer was given up is not counted as placed

A machine had taken an offer while the way to its placer was cut; the placer gave it up and told the machine to stop it. The checker counted it as placed there, though its answer was never heard.

--- a/kelpfront/lab/checker.py
+++ b/kelpfront/lab/checker.py
@@ -365,6 +365,9 @@
         if any(attempt.t < killed <= now for killed in self._kills[attempt.placer]):
             return False  # of an earlier life; what of it is found again is counted by the placer alone
         if attempt.answered_at is not None:
+            heard = self._when_heard(attempt.machine, attempt.placer, attempt.answered_at)
+            if attempt.left_at is not None and attempt.left_at < heard:
+                return False  # given up before its answer came over a cut; its machine is told to stop it
             return attempt.answer in ("running", "accepted")
         return attempt.left_at is None
 
