--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -464,6 +464,30 @@
     click.echo(json.dumps(schema(), indent=2))
 
 
+@lab.command("store-cost")
+@click.option("--groups", default="1,10,100", show_default=True, help="Records of one commit.")
+@click.option("--commits", default=200, show_default=True, help="Of one round.")
+@click.option("--rounds", default=5, show_default=True)
+@click.option(
+    "--folder", type=click.Path(path_type=Path, file_okay=False, exists=True), help="On which disk."
+)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def store_cost(groups: str, commits: int, rounds: int, folder: Path | None, as_json: bool) -> None:
+    """Measure durable commits of kelpfront's own log beside SQLite (WAL, full sync) and LMDB."""
+    from kelpfront.lab.storecost import measure_store
+
+    need_packages()
+    if not re.fullmatch(r"[1-9][0-9]{0,3}(,[1-9][0-9]{0,3})*", groups):
+        fail(f"--groups: {groups!r} is not numbers from 1 to 9999 with commas between them")
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty():
+            click.echo(text, err=True)
+
+    found = measure_store([int(group) for group in groups.split(",")], commits, rounds, folder, say)
+    click.echo(json.dumps({"results": found}, indent=None if as_json else 2))
+
+
 @lab.command("growth")
 @click.option("--sizes", default="10,81,300,1000,3000,5000", show_default=True, help="Machines.")
 @click.option("--tasks", default=40, show_default=True, help="In one round of one size.")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from kelpfront.lab.faultyfiles import CrashError, FaultyFiles
+from kelpfront.lab.storecost import measure_store
 from kelpfront.store.journal import Journal, JournalFailedError, OsFiles, StoreLockedError
 from kelpfront.store.segments import StoreDamagedError, log_name, snapshot_name, sort_files
 
@@ -229,3 +230,12 @@
     assert opened.snapshot == (b"state",)
     assert [record.payload for record in opened.records] == [b"later"]
     again.release()
+
+
+def test_what_durability_costs_is_measured_for_each_way(tmp_path: Path) -> None:
+    found = measure_store((1, 5), 4, 2, tmp_path, lambda text: None)
+    assert [(one["way"], one["group"]) for one in found] == [
+        (way, group) for group in (1, 5) for way in ("log", "sqlite", "lmdb")
+    ]
+    assert all(one["records_per_s"] > 0 and one["commit_ms"]["p50"] > 0 for one in found)
+    assert list(tmp_path.iterdir()) == []
