--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,6 +19,7 @@
     "wire": {"kelpfront.interface"},
     "simhost": {"kelpfront.interface", "kelpfront.rules", "kelpfront.wire"},
     "api": set(),
+    "background": set(),
     "levels": set(),
     "store": {"kelpfront.api"},
     "inventory": set(),
@@ -61,6 +62,7 @@
 }
 PURE = (
     "api",
+    "background",
     "levels",
     "rpc",
     "placer",
