The load tool says why jobs were turned away, counted by their message

From 368 jobs a second on one placer turned jobs away and the tool told only 503. It now counts the message with its figures left out: the request waited over a second for its turn, so the placer's one core is what is short.

--- a/kelpfront/lab/load/worker.py
+++ b/kelpfront/lab/load/worker.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+import re
 import sys
 import time
 from collections import Counter
@@ -28,6 +29,7 @@
 
 OPEN_MOST = 20_000  # pieces of work without an answer, of one process; what is due beyond them is not sent
 MOST_US = 60 * 60 * 1_000_000
+ERROR_MOST = 160  # characters of one, as it is counted
 GRACE_S = 2.0  # past an owner's patience, until a task counts as left without its answer
 ANSWER_STATES = ("Placed", "Refused", "Failed")
 
@@ -184,7 +186,8 @@
         except ApiError as error:
             self._open.pop(name, None)
             counts["turned_away" if error.code in (429, 503) else "rejected"] += 1
-            self.errors[f"{error.code} {error.reason}"] += 1
+            text = re.sub(r"[0-9.]*[0-9]", "N", error.message)  # those that differ in a figure are one
+            self.errors[f"{error.code} {error.reason}: {text}"[:ERROR_MOST]] += 1
         except ServerUnreachableError as error:
             # It may have been taken: whether it was is told by the watch, or else by the time that passes.
             counts["unreachable"] += 1
