--- a/kelpfront/lab/experiments/plan.py
+++ b/kelpfront/lab/experiments/plan.py
@@ -4,16 +4,17 @@
 
 import hashlib
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Literal
 
 import msgspec
 import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from pydantic import Field, field_validator
 
 from kelpfront.config import ConfigError
 from kelpfront.config.reader import parse_config
+from kelpfront.lab.checkedyaml import Checked, read_checked
 from kelpfront.lab.timeline.script import DayScript, ScriptError, read_day
 
 RUNS_MOST = 100_000
@@ -23,10 +24,6 @@
     """A plan that cannot be used; the message has a line for each problem."""
 
 
-class Checked(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
-
-
 class Variant(Checked):
     """One way in which the program is run."""
 
@@ -97,22 +94,7 @@
 
 def read_plan(text: str, source: str, day_text: Callable[[str], str]) -> Plan:
     """A plan of YAML; PlanError names problems with their places. `day_text` reads a day by name or file."""
-    try:
-        data = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        mark = getattr(error, "problem_mark", None)
-        place = f":{mark.line + 1}:{mark.column + 1}" if mark is not None else ""
-        raise PlanError(f"{source}{place}: is not YAML: {getattr(error, 'problem', error)}") from None
-    if not isinstance(data, Mapping):
-        raise PlanError(f"{source}: a mapping of the experiment's fields is expected")
-    try:
-        script = PlanScript.model_validate(data)
-    except ValidationError as error:
-        lines = []
-        for problem in error.errors(include_url=False):
-            place = ".".join(str(part) for part in problem["loc"]) or "the experiment"
-            lines.append(f"{source}: {place}: {problem['msg'].removeprefix('Value error, ')}")
-        raise PlanError("\n".join(dict.fromkeys(lines))) from None
+    script = read_checked(text, source, PlanScript, PlanError, "the experiment")
     names = [variant.name for variant in script.variants]
     _unique(names, f"{source}: variants")
     baseline = script.baseline or names[0]
--- a/kelpfront/lab/fronts.py
+++ b/kelpfront/lab/fronts.py
@@ -30,7 +30,7 @@
 from kelpfront.lab.figures import latencies
 from kelpfront.lab.fleet import Fleet, FleetModel
 from kelpfront.lab.recording import Recorder
-from kelpfront.lab.setup import make_hosts
+from kelpfront.lab.setup import THREE_CLASSES, make_hosts
 from kelpfront.service.app import PlacerService
 
 NAMESPACE = "lab"
@@ -40,38 +40,16 @@
 END_S = 60.0
 WAYS = ("rest", "grpc", "bindings")
 
-SETTINGS = """
+SETTINGS = f"""
 [placer]
 listen = 127.0.0.1:0
 grpc = 127.0.0.1:0
 [cluster]
 recheck = 1 s
-[limits]
-open_tasks = 20000
-[log]
-level = error
-[kind small]
-cores = 24
-memory = 48
+{THREE_CLASSES}
 [kind absent]
 cores = 1
 memory = 1
-[class web]
-effect = safe
-aim = 1 s
-deadline = 10 s
-[class ingest]
-effect = keyed
-group = room
-window = 8 s
-aim = 1 s
-deadline = 10 s
-priority = 1
-[class blend]
-effect = unsafe
-aim = 1 s
-deadline = 10 s
-priority = 1
 [class rare]
 effect = unsafe
 aim = 1 s
--- a/kelpfront/lab/load/runner.py
+++ b/kelpfront/lab/load/runner.py
@@ -21,37 +21,15 @@
 from kelpfront.lab.load.ramp import Outcome, Ramp
 from kelpfront.lab.load.worker import ANSWER_STATES, ClassLoad, WorkerTask
 from kelpfront.lab.process import Placer, Process, stand_in_machines
-from kelpfront.lab.setup import make_hosts
+from kelpfront.lab.setup import THREE_CLASSES, make_hosts
 
 HEAD_START_S = 0.5  # between the last worker's word that it is ready and the first arrival
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
-LOCAL_SETTINGS = """
+LOCAL_SETTINGS = f"""
 [placer]
 listen = 127.0.0.1:0
-[limits]
-open_tasks = 20000
-[log]
-level = error
-[kind small]
-cores = 24
-memory = 48
-[class web]
-effect = safe
-aim = 1 s
-deadline = 10 s
-[class ingest]
-effect = keyed
-group = room
-window = 8 s
-aim = 1 s
-deadline = 10 s
-priority = 1
-[class blend]
-effect = unsafe
-aim = 1 s
-deadline = 10 s
-priority = 1
+{THREE_CLASSES}
 """
 LOCAL_MODEL = FleetModel(
     weigh_ms=0.5, start_ms=5.0, dear=1.5, life_ms=400.0, line=1024, parallel_starts=256, heartbeat_ms=1000.0
--- a/kelpfront/lab/setup.py
+++ b/kelpfront/lab/setup.py
@@ -8,6 +8,33 @@
 
 from kelpfront.inventory import Host, Inventory
 
+# The classes of clusters on which protocols and loads are measured: one of each effect.
+THREE_CLASSES = """
+[limits]
+open_tasks = 20000
+[log]
+level = error
+[kind small]
+cores = 24
+memory = 48
+[class web]
+effect = safe
+aim = 1 s
+deadline = 10 s
+[class ingest]
+effect = keyed
+group = room
+window = 8 s
+aim = 1 s
+deadline = 10 s
+priority = 1
+[class blend]
+effect = unsafe
+aim = 1 s
+deadline = 10 s
+priority = 1
+"""
+
 
 def write_csv(path: Path, inventory: Inventory) -> None:
     """An inventory as CSV, put in place whole: a placer that reads meanwhile sees the old or the new."""
--- a/kelpfront/lab/timeline/script.py
+++ b/kelpfront/lab/timeline/script.py
@@ -7,16 +7,16 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
-import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, model_validator
 
 from kelpfront.config import ConfigError
 from kelpfront.config.reader import parse_config
 from kelpfront.inventory import Inventory
+from kelpfront.lab.checkedyaml import Checked, read_checked
 from kelpfront.lab.fleet import Fault, FaultKind
 from kelpfront.lab.setup import make_hosts
 
@@ -68,10 +68,6 @@
     """A script that cannot be used; the message has a line for each problem."""
 
 
-class Checked(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, hide_input_in_errors=True)
-
-
 class Happening(Checked):
     """What goes wrong, when, for how long, and with which machines."""
 
@@ -305,22 +301,7 @@
 
 def read_day(text: str, source: str) -> Day:
     """A day of YAML; ScriptError names every problem with its place."""
-    try:
-        data = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        mark = getattr(error, "problem_mark", None)
-        place = f":{mark.line + 1}:{mark.column + 1}" if mark is not None else ""
-        raise ScriptError(f"{source}{place}: is not YAML: {getattr(error, 'problem', error)}") from None
-    if not isinstance(data, Mapping):
-        raise ScriptError(f"{source}: a mapping of the day's fields is expected")
-    try:
-        script = DayScript.model_validate(data)
-    except ValidationError as error:
-        lines = []
-        for problem in error.errors(include_url=False):
-            place = ".".join(str(part) for part in problem["loc"]) or "the day"
-            lines.append(f"{source}: {place}: {problem['msg'].removeprefix('Value error, ')}")
-        raise ScriptError("\n".join(dict.fromkeys(lines))) from None
+    script = read_checked(text, source, DayScript, ScriptError, "the day")
     try:
         config = parse_config(script.settings, f"{source}: settings")
     except ConfigError as error:
