--- a/kelpfront/lab/checkedyaml.py
+++ b/kelpfront/lab/checkedyaml.py
@@ -18,7 +18,7 @@
 
 
 def read_checked(text: str, source: str, model: type[Model], error: type[ValueError], whole: str) -> Model:
-    """The model of a text; `error` with a line for each problem. `whole` is what the file is called in them."""
+    """The model of a text; `error` with a line for each problem. `whole` names the file in them."""
     try:
         data = yaml.safe_load(text)
     except yaml.YAMLError as problem:
