Hearing first after a stall is bounded in time and ends with the service

Under lasting overload, where every timer is late and turns of the loop are long, six turns before what is due could themselves cost a tenth of a second; they end after 20 ms now. A placer that is closed meanwhile does nothing more: the callback went on to the heart before.

--- a/kelpfront/service/app.py
+++ b/kelpfront/service/app.py
@@ -42,13 +42,14 @@
 STOP_SLACK_S = 2.0  # past the last task's deadline
 LAG_LOOK_S = 0.25
 STOOD_STILL_MS = 100.0  # a timer that is later than this: the process was stopped, or its host
-HEARING_TURNS = 6  # of the loop: from bytes in a socket to the heart it takes up to four
+HEARING_TURNS = 6  # of the loop: from bytes in a socket to the heart it takes up to four ...
+HEARING_MOST_MS = 20.0  # ... and no longer than this where turns are long: what is due is late already
 STARTING = "the placer starts: it asks its machines what they hold"
 STOPPING = "the placer stops: it answers what it has taken and takes no more"
 
 
 class PlacerService:
-    """One placer process. `scheduler` and `heart_class` are for tests that need a wrong one."""
+    """One placer process. `heart_class` is for tests and the laboratory, which need others."""
 
     def __init__(
         self,
@@ -140,7 +141,7 @@
         self._worked = asyncio.Event()
         self._armed: asyncio.TimerHandle | None = None
         self._armed_at = math.inf
-        self._hearing = False
+        self._hearing = self._closed = False
         self._process = None if config.levels.memory is None else psutil.Process()
         self._stopping = False
         self._stopped = asyncio.Event()
@@ -248,6 +249,7 @@
 
     async def close(self) -> None:
         """Closes everything at once."""
+        self._closed = True
         self.http.abort()
         if self.grpc is not None:
             await self.grpc.close(0.0)
@@ -372,18 +374,20 @@
             self.heart.levelling.sight.late(late_ms)
             if late_ms > STOOD_STILL_MS and not self._hearing:
                 self._hearing = True
-                self._hear_first(HEARING_TURNS)
+                self._hear_first(HEARING_TURNS, now + HEARING_MOST_MS)
         self._armed, self._armed_at = None, math.inf
         if not self._hearing:
             self._advance()
 
-    def _hear_first(self, turns: int) -> None:
+    def _hear_first(self, turns: int, until: float) -> None:
         """The process stood still: what lies in its sockets came before much of what is due now.
 
         Without this an offer whose answer has come is timed out, and its task goes out once more.
         """
-        if turns:
-            asyncio.get_running_loop().call_soon(self._hear_first, turns - 1)
+        if self._closed:
+            return
+        if turns and self.clock.now() < until:
+            asyncio.get_running_loop().call_soon(self._hear_first, turns - 1, until)
             return
         self._hearing = False
         self._advance()
