--- a/kelpfront/store/journal.py
+++ b/kelpfront/store/journal.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Protocol
 
-from kelpfront.store.records import Header, Record, RecordError, Scan, encode_record, scan
+from kelpfront.store.records import Header, Record, RecordError, Scan, check_payload, encode_record, scan
 from kelpfront.store.segments import (
     PART,
     StoreDamagedError,
@@ -26,6 +26,7 @@
     sort_files,
 )
 
+WAITING_MOST = 16 << 20  # bytes that are appended and not committed; at it they are committed
 SEGMENT_MOST = 64 << 20  # bytes of one file, after which the next is begun
 END = b"end "  # the last record of a snapshot, with the number of those before it
 
@@ -130,6 +131,7 @@
         self._next = 1
         self._durable = 0
         self._waiting: list[bytes] = []
+        self._waiting_bytes = 0
         self._failed = ""
 
     @property
@@ -150,8 +152,7 @@
         for first in logs:
             self._files.sync_file(log_name(first))
         for name in (*recovery.useless, *found.removable()):
-            if name in (*found.unfinished, *recovery.useless) or found.snapshot is not None:
-                self._files.remove(name)
+            self._files.remove(name)
         self._next = recovery.next_sequence
         self._durable = self._next - 1
         self._begin_file()
@@ -189,8 +190,11 @@
     def append(self, payload: bytes) -> int:
         """The record's number; durable once `commit` has returned."""
         self._check()
+        if self._waiting_bytes >= WAITING_MOST:
+            self.commit()
         sequence = self._next
         self._waiting.append(encode_record(self._file_salt, sequence, payload, self._durable))
+        self._waiting_bytes += len(self._waiting[-1])
         self._next += 1
         return sequence
 
@@ -204,6 +208,7 @@
                 self._files.append(self._handle, data)
                 self._files.sync(self._handle)
                 self._waiting.clear()
+                self._waiting_bytes = 0
                 self._durable = self._next - 1
                 self._size += len(data)
                 if self._size >= self._segment_most:
@@ -214,6 +219,9 @@
     def snapshot(self, parts: Iterable[bytes]) -> int:
         """Keeps a state in place of the records up to now, which go; its number. Commits first."""
         last = self.commit()
+        kept = list(parts)
+        for part in kept:  # one that cannot be a record is refused before a file is begun
+            check_payload(part)
         with self._failing():
             name = snapshot_name(last)
             if name in self._files.names():
@@ -222,7 +230,7 @@
             salt = self._salt()
             self._files.append(handle, Header(salt, 1).encode())
             count = 0
-            for count, part in enumerate(parts, 1):
+            for count, part in enumerate(kept, 1):
                 self._files.append(handle, encode_record(salt, count, part))
             self._files.append(handle, encode_record(salt, count + 1, END + str(count).encode()))
             self._files.sync(handle)
--- a/kelpfront/store/records.py
+++ b/kelpfront/store/records.py
@@ -82,10 +82,15 @@
     return found
 
 
-def encode_record(salt: int, sequence: int, payload: bytes, durable: int = 0) -> bytes:
-    """One record; ValueError for a payload that is empty or over RECORD_MOST."""
+def check_payload(payload: bytes) -> None:
+    """ValueError for a payload that is empty or over RECORD_MOST."""
     if not 0 < len(payload) <= RECORD_MOST:
         raise ValueError(f"a payload of {len(payload)} bytes, 1 to {RECORD_MOST} are allowed")
+
+
+def encode_record(salt: int, sequence: int, payload: bytes, durable: int = 0) -> bytes:
+    """One record; ValueError as `check_payload`."""
+    check_payload(payload)
     checksum = _checksum(salt, sequence, durable, payload)
     return _RECORD.pack(len(payload), checksum, sequence, durable) + payload
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -239,3 +239,24 @@
     ]
     assert all(one["records_per_s"] > 0 and one["commit_ms"]["p50"] > 0 for one in found)
     assert list(tmp_path.iterdir()) == []
+
+
+def test_a_snapshot_with_a_part_that_cannot_be_harms_nothing() -> None:
+    played = Played(FaultyFiles())
+    played.open()
+    played.play(["append", "commit"])
+    before = played.files.names()
+    with pytest.raises(ValueError, match="are allowed"):
+        played.journal.snapshot([b"whole", b""])
+    assert played.files.names() == before
+    played.play(["snapshot", "append", "commit"])
+    check(played, 1)
+
+
+def test_what_is_not_committed_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("kelpfront.store.journal.WAITING_MOST", 100)
+    played = Played(FaultyFiles())
+    played.open()
+    before = played.files.operations
+    played.play(["append"] * 20)
+    assert played.files.operations > before
