--- a/kelpfront/tracing/export.py
+++ b/kelpfront/tracing/export.py
@@ -35,11 +35,16 @@
 
     def __init__(self, path: Path, most_bytes: int) -> None:
         self._path, self._most = path, most_bytes
-        self._file = path.open("a", encoding="utf-8")
+        self._open()
+
+    def _open(self) -> None:
+        self._file = self._path.open("a", encoding="utf-8")
         self._size = self._file.tell()
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         try:
+            if self._file.closed:  # setting it aside failed half way
+                self._open()
             for span in spans:
                 line = json.dumps(_plain(span), separators=(",", ":")) + "\n"
                 if self._size and self._size + len(line) > self._most:
@@ -56,8 +61,7 @@
     def _set_aside(self) -> None:
         self._file.close()
         self._path.replace(self._path.with_name(self._path.name + ".1"))
-        self._file = self._path.open("a", encoding="utf-8")
-        self._size = 0
+        self._open()
 
     def shutdown(self) -> None:
         with contextlib.suppress(OSError):  # what a full disk did not take
