A database of another program is not taken for results, and not touched

lab report and lab experiment made their tables in any SQLite file they were given. Results are marked as kelpfront's; another's file is refused, byte for byte as it was.

--- a/kelpfront/lab/experiments/results.py
+++ b/kelpfront/lab/experiments/results.py
@@ -13,6 +13,7 @@
 import msgspec
 
 FORMAT = 1
+APPLICATION = 0x6B656C70  # "kelp": SQLite's mark of whose file it is
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value TEXT NOT NULL);
 CREATE TABLE IF NOT EXISTS runs (
@@ -53,6 +54,7 @@
         self.path = path
         try:
             self._db = sqlite3.connect(path, isolation_level=None, timeout=10.0)
+            self._check_owner(path)
             self._db.execute("PRAGMA journal_mode=WAL")
             self._db.execute("PRAGMA synchronous=FULL")
             self._db.executescript(SCHEMA)
@@ -64,6 +66,15 @@
         elif int(held[0]) > FORMAT:
             raise ResultsError(f"{path}: format {held[0]}, this version reads up to {FORMAT}")
 
+    def _check_owner(self, path: Path) -> None:
+        """A file of another program is left as it is."""
+        mark = self._db.execute("PRAGMA application_id").fetchone()[0]
+        if mark != APPLICATION:
+            if self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
+                self._db.close()
+                raise ResultsError(f"{path}: is the database of another program")
+            self._db.execute(f"PRAGMA application_id = {APPLICATION}")
+
     def close(self) -> None:
         self._db.close()
 
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -141,6 +141,12 @@
     with pytest.raises(ResultsError, match="holds no results"):
         Results(other)
     assert other.read_bytes().startswith(b"this is not")
+    with sqlite3.connect(tmp_path / "theirs.db") as db:
+        db.execute("CREATE TABLE theirs (x)")
+    kept = (tmp_path / "theirs.db").read_bytes()
+    with pytest.raises(ResultsError, match="of another program"):
+        Results(tmp_path / "theirs.db")
+    assert (tmp_path / "theirs.db").read_bytes() == kept
     newer = tmp_path / "newer.sqlite"
     with opened(newer) as results:
         results.set_meta("format", str(FORMAT + 1))
@@ -326,7 +332,7 @@
 def test_a_report_is_one_page_that_needs_nothing_else(tmp_path: Path) -> None:
     plan = read_plan(PLAN.replace("about: A test.", "about: <script>x</script>"), "plan", days)
     with opened(tmp_path / "r.sqlite") as results:
-        with pytest.raises((ReportError, KeyError)):
+        with pytest.raises(ReportError, match="no run in it has ended"):
             make(results, tmp_path / "out")
         run_plan(plan, results, 1)
         written = make(results, tmp_path / "out")
