--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -356,13 +356,7 @@
 
     try:
         text = day_text(name)
-        for change in changes:
-            field, mark, value = change.partition("=")
-            if not mark or not re.fullmatch(r"[a-z_]+", field):
-                fail(f"--day: {change!r} is not FIELD=VALUE")
-            lines = [line for line in text.splitlines() if not line.startswith(f"{field}:")]
-            text = "\n".join([*lines, f"{field}: {value}", ""])
-        return read_day(text, str(name))
+        return read_day(_changed(text, changes), str(name))
     except OSError as error:
         fail(f"{name}: {error.strerror}; a file, or one of {', '.join(_own_days())}")
     except UnicodeDecodeError as error:
@@ -371,6 +365,24 @@
         fail(str(error))
 
 
+def _changed(text: str, changes: tuple[str, ...]) -> str:
+    """A day's YAML with FIELD=VALUE put over its fields; what is no YAML is left for its reader to tell."""
+    import yaml
+
+    if not changes:
+        return text
+    try:
+        data = yaml.safe_load(text)
+        for change in changes:
+            field, mark, value = change.partition("=")
+            if not mark or not isinstance(data, dict):
+                fail(f"--day: {change!r} is not FIELD=VALUE")
+            data[field] = yaml.safe_load(value)
+    except yaml.YAMLError as error:
+        fail(f"--day: is not YAML: {getattr(error, 'problem', error)}")
+    return yaml.safe_dump(data, sort_keys=False)
+
+
 def _own_days() -> list[str]:
     return sorted(path.stem for path in (Path(__file__).parent.parent / "lab" / "days").glob("*.yaml"))
 
--- a/kelpfront/lab/load/arrivals.py
+++ b/kelpfront/lab/load/arrivals.py
@@ -57,7 +57,7 @@
         allowed = (
             ("rate", self.rate, 0.0, math.inf),
             ("seconds", self.seconds, 0.0, math.inf),
-            ("period_s", self.period_s, 0.0, math.inf),
+            ("period", self.period_s, 0.0, math.inf),
         )
         for name, value, low, high in allowed:
             if not low < value < high:
--- a/kelpfront/lab/load/ramp.py
+++ b/kelpfront/lab/load/ramp.py
@@ -50,7 +50,7 @@
 
     def __init__(self, first: float, most: float, exact: float = 0.05) -> None:
         if not 0 < first <= most:
-            raise ValueError(f"first: {first:g} is not over 0 and at most {most:g}")
+            raise ValueError(f"rate: {first:g} is not over 0 and at most {most:g}, where the ramp ends")
         self._next, self._most, self._exact = first, most, exact
         self.kept = 0.0  # the highest so far
         self.not_kept: float | None = None  # the lowest so far
--- a/kelpfront/lab/load/worker.py
+++ b/kelpfront/lab/load/worker.py
@@ -191,7 +191,7 @@
         except ServerUnreachableError as error:
             # It may have been taken: whether it was is told by the watch, or else by the time that passes.
             counts["unreachable"] += 1
-            self.errors[str(error)] += 1
+            self.errors[re.sub(r"[0-9.]*[0-9]", "N", str(error))[:ERROR_MOST]] += 1
         else:
             self.results.taken[arrival.cls].record_value(max(1, round((loop.time() - due) * 1e6)))
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -276,7 +276,7 @@
     [
         (["--server", "http://127.0.0.1:1"], "--config"),
         (["--rate", "0"], "--rate"),
-        (["--ramp", "5", "--rate", "10"], "--first"),
+        (["--ramp", "5", "--rate", "10"], "--rate: 10 is not over 0 and at most 5"),
         (["--workers", "0"], "--workers"),
         (["--peak", "0.5"], "--peak"),
     ],
