--- a/kelpfront/cli/agent.py
+++ b/kelpfront/cli/agent.py
@@ -54,7 +54,7 @@
     The line with its URL goes to standard output, the log to standard error.
     """
     from kelpfront.agent.service import AgentError, AgentService
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     its = load(config_path, overrides)
     configure_logs(its.log.level, its.log.format, machine=its.agent.name)
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -57,7 +57,7 @@
     Exit code 1 if a task was lost or started twice, or an exit was not told.
     """
     from kelpfront.lab.restarts import Restarts, RestartsShape
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     configure_logs("warning", "auto")
     shape = RestartsShape(seed, restarts, rate, seconds, agents)
@@ -82,7 +82,7 @@
 def agent_cost(tasks: str, as_json: bool) -> None:
     """Measure one node agent: starts a second, a durable start, its CPU and memory, its restart."""
     from kelpfront.lab.agentcost import AgentCost
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     configure_logs("warning", "auto")
     try:
@@ -111,7 +111,7 @@
     Exit code 1 if an end differs, something started twice or an answer is missing.
     """
     from kelpfront.lab.fronts import Fronts, FrontsShape
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     configure_logs("error", "auto")
 
@@ -140,7 +140,7 @@
     from kelpfront.client.retry import BURST, SHARE
     from kelpfront.lab.process import raise_file_limit
     from kelpfront.lab.reconnect import HerdShape, Reconnect
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     configure_logs("error", "auto")
     raise_file_limit()
@@ -169,7 +169,7 @@
     """Measure what a job costs by REST, gRPC and a Bindings stream, and offers by HTTP and by streams."""
     from kelpfront.lab.process import raise_file_limit
     from kelpfront.lab.protocols import Protocols
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     configure_logs("error", "auto")
     raise_file_limit()
@@ -228,7 +228,7 @@
     from kelpfront.lab.badday import play
     from kelpfront.lab.fleet import FleetModel
     from kelpfront.lab.script import DayShape
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     need_packages()
     configure_logs("warning", "auto")
@@ -423,7 +423,7 @@
     if sockets:
         from kelpfront.lab.timeline.script import ScriptError
         from kelpfront.lab.timeline.sockets import play_on_sockets
-        from kelpfront.service.logs import configure_logs
+        from kelpfront.logs import configure_logs
 
         configure_logs("error", "auto")
         try:
--- a/kelpfront/cli/load.py
+++ b/kelpfront/cli/load.py
@@ -73,7 +73,7 @@
     from kelpfront.lab.load.ramp import Ramp
     from kelpfront.lab.load.runner import Load, LoadShape, local_cluster
     from kelpfront.lab.process import raise_file_limit
-    from kelpfront.service.logs import configure_logs
+    from kelpfront.logs import configure_logs
 
     configure_logs("error", "auto")
     raise_file_limit()
--- a/kelpfront/cli/main.py
+++ b/kelpfront/cli/main.py
@@ -11,6 +11,7 @@
 COMMANDS = {
     "serve": "kelpfront.cli.serve:serve",
     "machines": "kelpfront.cli.serve:machines",
+    "platform": "kelpfront.cli.platform:platform",
     "agent": "kelpfront.cli.agent:agent",
     "submit": "kelpfront.cli.jobs:submit",
     "get": "kelpfront.cli.jobs:get",
--- a/kelpfront/cli/serve.py
+++ b/kelpfront/cli/serve.py
@@ -31,8 +31,8 @@
     It then takes no more jobs, answers those that it has, and ends with 0. The line with its URL goes to
     standard output, the log to standard error.
     """
+    from kelpfront.logs import configure_logs
     from kelpfront.service.app import PlacerService, load_inventory
-    from kelpfront.service.logs import configure_logs
 
     its = load_config(config_path, overrides)
     if its.placer.grpc is not None and importlib.util.find_spec("grpc") is None:
@@ -111,8 +111,8 @@
     from kelpfront.lab.fleet import Fault, Fleet, FleetModel
     from kelpfront.lab.recording import Recorder
     from kelpfront.lab.setup import write_csv
+    from kelpfront.logs import configure_logs
     from kelpfront.service.app import load_inventory
-    from kelpfront.service.logs import configure_logs
 
     its: Config = load_config(config_path, overrides)
     path = inventory or config_path.parent / its.placer.inventory
--- a/kelpfront/lab/agents.py
+++ b/kelpfront/lab/agents.py
@@ -25,8 +25,8 @@
 from kelpfront.http.server import Request
 from kelpfront.lab.recording import Recorder
 from kelpfront.lab.wrongagents import WRONG
+from kelpfront.logs import configure_logs
 from kelpfront.machine.messages import Answer, Gone, Heartbeat, OfferRequest, Sequenced
-from kelpfront.service.logs import configure_logs
 
 POINTS = (
     "intent",
--- /dev/null
+++ b/kelpfront/platform/config.py
@@ -0,0 +1,106 @@
+"""The platform's configuration file, checked. Errors name the file, the key and what is allowed."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from kelpfront.interface import Settings
+from kelpfront.wire import settings_of
+
+
+class ConfigError(ValueError):
+    """A configuration that cannot be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What the platform tells a placer at its start; times in `settings` are milliseconds."""
+
+    name: str
+    listen: Address
+    coordinator: Address
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: Settings
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    idle_ms: float
+
+
+def read_config(path: Path) -> Config:
+    """The file at `path`; ConfigError says what is wrong with it."""
+    try:
+        raw = json.loads(path.read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    try:
+        return config_of(raw)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def config_of(raw: Any) -> Config:
+    if not isinstance(raw, dict):
+        raise ConfigError("a JSON object is wanted")
+    info = _table(raw, "settings")
+    try:
+        settings = settings_of(info)
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"settings: {error}") from None
+    sockets = _table(raw, "limits").get("sockets", 1024)
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
+        raise ConfigError(f"limits: sockets: a whole number of at least 64 is wanted, not {sockets!r}")
+    seed = raw.get("seed", "0")
+    try:
+        number = int(str(seed), 16)
+    except ValueError:
+        raise ConfigError(f"seed: hex digits are wanted, not {seed!r}") from None
+    idle = _table(info, "Permissions").get("ConnIdleMs", 30_000.0)
+    if isinstance(idle, bool) or not isinstance(idle, int | float) or not idle > 0:
+        raise ConfigError(f"settings: Permissions: ConnIdleMs: above 0 is wanted, not {idle!r}")
+    return Config(
+        name=str(raw.get("name", "")),
+        listen=address_of(raw.get("listen"), "listen"),
+        coordinator=address_of(raw.get("coordinator"), "coordinator"),
+        seed=number,
+        sockets=sockets,
+        known=_table(raw, "known"),
+        settings=settings,
+        zones=_names(info, "Zones"),
+        kinds=_names(info, "Shapes"),
+        idle_ms=float(idle),
+    )
+
+
+def address_of(value: Any, where: str) -> Address:
+    """HOST:PORT as an address; ConfigError names `where`."""
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{where}: HOST:PORT is wanted, not {value!r}")
+    return Address(host, int(port))
+
+
+def _table(raw: dict[str, Any], name: str) -> dict[str, Any]:
+    value = raw.get(name, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{name}: a JSON object is wanted, not {value!r}")
+    return value
+
+
+def _names(info: dict[str, Any], name: str) -> tuple[str, ...]:
+    value = info.get(name)
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise ConfigError(f"settings: {name}: a list of names is wanted, not {value!r}")
+    return tuple(value)
--- /dev/null
+++ b/kelpfront/platform/coordinator.py
@@ -0,0 +1,88 @@
+"""Follows the coordinator's list by long polls, through breaks and silence."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from kelpfront.backoff import Backoff
+from kelpfront.http.client import HttpConnection, HttpError
+from kelpfront.platform.config import Address
+
+log = structlog.get_logger("kelpfront.platform.coordinator")
+
+WAIT_MS = 1_000  # of one poll: what a silent coordinator would have told counts as told 2 s after its end
+SLACK_S = 0.5  # for the answer to a poll after its wait
+CONNECT_S = 0.5
+BODY_MOST = 4 << 20
+FIRST_PAUSE_MS, MOST_PAUSE_MS = 20.0, 400.0
+
+
+class Follower:
+    """Asks for what is later than `index()`; `take` gets each answer and raises ValueError on a bad one."""
+
+    def __init__(
+        self, address: Address, index: Callable[[], int], take: Callable[[Any], None], rng: random.Random
+    ) -> None:
+        self._address, self._index, self._take = address, index, take
+        self._backoff = Backoff(rng, FIRST_PAUSE_MS, MOST_PAUSE_MS)
+        self._connection: HttpConnection | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._failing = False
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def move(self, address: Address) -> None:
+        """Leaves for another address; the numbering goes on."""
+        if address != self._address:
+            log.info("coordinator moved", host=address.host, port=address.port)
+            self._address = address
+            self.stop()
+            self._backoff.worked()
+            self.start()
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        self._leave()
+
+    def _leave(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self._take(await self._ask())
+            except (HttpError, OSError, TimeoutError, ValueError) as error:
+                self._leave()
+                if not self._failing:
+                    log.warning("coordinator lost", error=str(error) or "no answer in time")
+                self._failing = True
+                await asyncio.sleep(self._backoff.failed() / 1000.0)
+            else:
+                if self._failing:
+                    log.info("coordinator back", index=self._index())
+                self._failing = False
+                self._backoff.worked()
+
+    async def _ask(self) -> Any:
+        if self._connection is None or not self._connection.usable:
+            self._leave()
+            async with asyncio.timeout(CONNECT_S):
+                self._connection = await HttpConnection.open(
+                    self._address.host, self._address.port, BODY_MOST
+                )
+        async with asyncio.timeout(WAIT_MS / 1000.0 + SLACK_S):
+            target = f"/v2/stream?follow={self._index()}&wait_ms={WAIT_MS}"
+            reply = await self._connection.request("GET", target)
+        if reply.status != 200:
+            raise ValueError(f"HTTP {reply.status}")
+        return json.loads(reply.body)
--- /dev/null
+++ b/kelpfront/platform/intents.py
@@ -0,0 +1,71 @@
+"""What the core wants done on sockets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from kelpfront.interface import MachineId
+
+Conn = int
+"""The number of an owner's connection, never used twice."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Lines to an owner."""
+
+    conn: Conn
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A set-up to a machine; its bytes come from the core's gate at the instant of the write."""
+
+    machine: MachineId
+    call: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """An attempt is given up: the machine is told where the set-up has been written."""
+
+    machine: MachineId
+    call: str
+    number: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line on a task that stands, on any connection to its machine."""
+
+    machine: MachineId
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Test:
+    """A probe."""
+
+    machine: MachineId
+    call: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """Tasks stand there: keep a connection open, on which the machine can tell of them."""
+
+    machine: MachineId
+
+
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """Nothing stands there any more and the machine is gone: close its connections."""
+
+    machine: MachineId
+
+
+Intent = Tell | Offer | Abandon | Say | Test | Listen | Forget
--- /dev/null
+++ b/kelpfront/platform/owners.py
@@ -0,0 +1,122 @@
+"""The listener for owners: lines in by turns, answers out, all of it bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from kelpfront.platform.config import Address
+from kelpfront.platform.core import Core
+from kelpfront.platform.door import ACCEPT_BURST, TURN_LINES, UNREAD_MOST, closed_for_silence
+from kelpfront.platform.intents import Conn, Tell
+from kelpfront.platform.messages import LINE_MOST, BadMessageError, decode
+
+log = structlog.get_logger("kelpfront.platform.owners")
+
+LISTEN_QUEUE = 1024  # of the kernel: a connection that finds it full is tried again only after a second
+SWEEP_S = 0.25
+
+
+@dataclass(slots=True, eq=False)
+class _Owner:
+    writer: asyncio.StreamWriter
+    opened_at: float
+    heard_at: float = -1.0
+    lines: int = 0
+
+
+class Front:
+    def __init__(self, core: Core, now: Callable[[], float], flush: Callable[[], None], most: int) -> None:
+        self._core, self._now, self._flush, self._most = core, now, flush, most
+        self._owners: dict[Conn, _Owner] = {}
+        self._numbers = itertools.count(1)
+        self._server: asyncio.Server | None = None
+        self.turned_away = 0
+
+    async def start(self, address: Address) -> int:
+        """Listens; returns the port."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((address.host, address.port))
+        except OSError:
+            sock.close()
+            raise
+        # asyncio accepts as many in one go as its backlog says; the kernel's queue may be longer.
+        self._server = await asyncio.start_server(
+            self._serve, sock=sock, backlog=ACCEPT_BURST, limit=LINE_MOST
+        )
+        sock.listen(LISTEN_QUEUE)
+        return int(sock.getsockname()[1])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._owners) >= self._most and not self._make_room():
+            self.turned_away += 1
+            writer.transport.abort()
+            return
+        conn = next(self._numbers)
+        owner = _Owner(writer, asyncio.get_running_loop().time())
+        peername = writer.get_extra_info("peername")
+        self._owners[conn] = owner
+        self._core.owner_opened(self._now(), conn, peername[0] if peername else "")
+        self._flush()
+        try:
+            await self._read(conn, owner, reader)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        except (BadMessageError, asyncio.LimitOverrunError):
+            self._core.counts["unreadable lines"] += 1
+        finally:
+            self._owners.pop(conn, None)
+            self._core.owner_closed(self._now(), conn)
+            self._flush()
+            writer.close()
+
+    async def _read(self, conn: Conn, owner: _Owner, reader: asyncio.StreamReader) -> None:
+        while not owner.writer.is_closing():
+            message = decode(await reader.readuntil(b"\n"))
+            sound = self._core.owner_says(self._now(), conn, message)
+            self._flush()
+            if sound:
+                owner.heard_at = asyncio.get_running_loop().time()
+            owner.lines += 1
+            if owner.lines % TURN_LINES == 0:
+                await asyncio.sleep(0)
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has been open longest without a sound word."""
+        for conn, owner in self._owners.items():
+            if owner.heard_at < 0 and not self._core.carries(conn) and not owner.writer.is_closing():
+                owner.writer.transport.abort()
+                del self._owners[conn]
+                return True
+        return False
+
+    def tell(self, intent: Tell) -> None:
+        owner = self._owners.get(intent.conn)
+        if owner is None or owner.writer.is_closing():
+            return
+        owner.writer.write(intent.data)
+        transport = owner.writer.transport
+        if transport.get_write_buffer_size() > UNREAD_MOST:
+            log.warning("an owner does not read", unread=transport.get_write_buffer_size())
+            transport.abort()
+
+    def sweep(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for conn, owner in list(self._owners.items()):
+            carries = self._core.carries(conn)
+            if closed_for_silence(owner.opened_at, owner.heard_at, carries, False, now):
+                owner.writer.close()
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for owner in self._owners.values():
+            owner.writer.close()
--- /dev/null
+++ b/kelpfront/platform/service.py
@@ -0,0 +1,193 @@
+"""The placer in service: core, front, links and coordinator on one event loop; signals and life."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from kelpfront.clock import CommonClock
+from kelpfront.interface import MachineId
+from kelpfront.platform import door, machines, owners
+from kelpfront.platform.config import Config, ConfigError, read_config
+from kelpfront.platform.coordinator import Follower
+from kelpfront.platform.core import Core
+from kelpfront.platform.directory import BadEventError, events_of
+from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell, Test
+from kelpfront.platform.machines import Budget, MachineLink
+from kelpfront.platform.owners import Front
+from kelpfront.rules import Scheduler
+
+log = structlog.get_logger("kelpfront.platform")
+
+FIGURES_S = 5.0  # between two lines of counters in the log
+SERVE_ON_S = 0.6  # after the longest deadline, once told to end: what was taken is answered by then
+LATE_S = 0.2  # a turn of the loop that is later than this is logged
+
+
+class Service:
+    """One placer. `run` returns when it has been told to end and what it had taken is answered."""
+
+    def __init__(self, path: Path, config: Config) -> None:
+        self._path, self._config = path, config
+        self._clock = CommonClock()
+        self.core = Core(config, Scheduler(config.settings, config.seed))
+        shares = door.Shares.of(config.sockets)
+        self._front = Front(self.core, self._clock.now, self.flush, shares.owners)
+        self._budget = Budget(shares.machines)
+        self._links: dict[MachineId, MachineLink] = {}
+        self._follower = Follower(
+            config.coordinator, lambda: self.core.index, self._take, random.Random(config.seed ^ 1)
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._flushing = False
+        self._ending: asyncio.Event = asyncio.Event()
+        self.port = 0
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGTERM, self._ending.set)
+        self._take(self._config.known)
+        self.port = await self._front.start(self._config.listen)
+        self._follower.start()
+        looks = [loop.create_task(job) for job in (self._sweep(), self._figures())]
+        log.info("serving", name=self._config.name, port=self.port, machines=len(self.core.machines))
+        gc.collect()
+        gc.freeze()
+        await self._ending.wait()
+        longest = max(cls.deadline_ms for cls in self._config.settings.classes) / 1000.0
+        log.info("told to end", serves_on_s=longest + SERVE_ON_S)
+        await asyncio.sleep(longest + SERVE_ON_S)
+        for look in looks:
+            look.cancel()
+        self._follower.stop()
+        await self._front.close()
+        for link in list(self._links.values()):
+            link.close()
+        log.info("ended", **self.core.counts)
+
+    # ---- Between the core and the sockets -------------------------------------------------------------
+
+    def flush(self) -> None:
+        """Carries out what the core wants, and sees to its timer. What it brings about joins the queue."""
+        if self._flushing:
+            return
+        self._flushing = True
+        try:
+            while self.core.out:
+                out, self.core.out = self.core.out, []
+                for intent in out:
+                    self._carry_out(intent)
+        finally:
+            self._flushing = False
+        for text in self.core.logs:
+            log.info("decision", text=text)
+        self.core.logs.clear()
+        self._set_timer()
+
+    def _carry_out(self, intent: object) -> None:
+        match intent:
+            case Tell():
+                self._front.tell(intent)
+            case Forget(machine):
+                link = self._links.pop(machine, None)
+                if link is not None:
+                    link.close()
+            case Offer() | Test():
+                self._link(intent.machine, lambda link: link.send(intent))
+            case Abandon():
+                self._link(intent.machine, lambda link: link.abandon(intent))
+            case Say(machine, data):
+                self._link(machine, lambda link: link.say(data))
+            case Listen(machine):
+                self._link(machine, lambda link: link.listen())
+
+    def _link(self, ident: MachineId, call: Any) -> None:
+        machine = self.core.machines.get(ident)
+        if machine is None:
+            return
+        link = self._links.get(ident)
+        if link is None or link.address != machine.address:
+            if link is not None:
+                link.close()
+            link = self._links[ident] = MachineLink(
+                ident,
+                machine.address,
+                self.core,
+                self._clock.now,
+                self.flush,
+                self._budget,
+                self._config.settings.connect_timeout_ms / 1000.0,
+                self._config.idle_ms / 1000.0,
+            )
+        call(link)
+
+    def _set_timer(self) -> None:
+        due = self.core.due
+        if self._timer is not None and (due is None or due < self._timer_at):
+            self._timer.cancel()
+            self._timer = None
+        if due is not None and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer_at = due
+            delay = max(0.0, due - self._clock.now()) / 1000.0
+            # What a stalled loop finds unread is read before time-outs are judged: two turns later.
+            self._timer = loop.call_later(delay, loop.call_soon, loop.call_soon, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.core.tick(self._clock.now())
+        self.flush()
+
+    # ---- The list, signals, looks ---------------------------------------------------------------------
+
+    def _take(self, raw: Any) -> None:
+        index, events = events_of(raw, self._config)
+        self.core.listed(self._clock.now(), index, events)
+        self.flush()
+
+    def _reload(self) -> None:
+        try:
+            config = read_config(self._path)
+            events_of(config.known, config)
+        except (ConfigError, BadEventError) as error:
+            log.error("new configuration not taken", error=str(error))
+            return
+        self._follower.move(config.coordinator)
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        links_at = 0.0
+        while True:
+            began = loop.time()
+            await asyncio.sleep(owners.SWEEP_S)
+            late = loop.time() - began - owners.SWEEP_S
+            if late > LATE_S:
+                log.warning("the loop was late", late_ms=round(late * 1000))
+            self._front.sweep()
+            if loop.time() - links_at > machines.SWEEP_S:
+                links_at = loop.time()
+                for link in list(self._links.values()):
+                    link.sweep()
+
+    async def _figures(self) -> None:
+        while True:
+            await asyncio.sleep(FIGURES_S)
+            log.info("figures", memory_mb=_memory_mb(), descriptors=_descriptors(), **self.core.counts)
+
+
+def _memory_mb() -> float:
+    with open("/proc/self/statm") as file:
+        return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+
+
+def _descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,14 @@
 ROOT = Path(__file__).parent.parent / "kelpfront"
 
 # What each part may import of the project. A part that is not named may import only what all may.
-ALL = {"kelpfront.units", "kelpfront.clock", "kelpfront.numbers", "kelpfront.backoff", "kelpfront.interface"}
+ALL = {
+    "kelpfront.logs",
+    "kelpfront.units",
+    "kelpfront.clock",
+    "kelpfront.numbers",
+    "kelpfront.backoff",
+    "kelpfront.interface",
+}
 MAY: dict[str, set[str]] = {
     "rules": {"kelpfront.interface"},
     "interface": set(),
@@ -59,6 +66,7 @@
         "kelpfront.v1",
     },
     "tracing": {"kelpfront.api", "kelpfront.placer"},
+    "platform": {"kelpfront.rules", "kelpfront.wire", "kelpfront.http"},
 }
 PURE = (
     "api",
@@ -78,6 +86,7 @@
     "agent": {"orphans", "recovery", "usage"},
     "client": {"informer", "retry"},
     "fronts": {"session"},
+    "platform": {"core", "directory", "door", "intents", "messages"},
     "store": {"records", "resources", "segments", "watch"},
     "tracing": {"heart", "spans"},
     "machine": {
