Tests of the placer in service; connections to owners that do not read are ended

The tests play owners, machines and a coordinator by script. Two faults showed: a connection closed after a bad line lingered for good where its owner read nothing (owners.py, _serve), now broken after 1 s; and a release kept for an owner was still told after the time in which it is owed (core.py, owner_opened).

--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -313,7 +313,7 @@
         self._by_peer.setdefault(peer, {})[conn] = None
         waiting, self._unsent = self._unsent, deque()
         for until, whose, data in waiting:
-            if whose == peer:
+            if until > now and whose == peer:
                 self.out.append(Tell(conn, data))
             elif until > now:
                 self._unsent.append((until, whose, data))
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -20,6 +20,7 @@
 
 LISTEN_QUEUE = 1024  # of the kernel: a connection that finds it full is tried again only after a second
 SWEEP_S = 0.25
+LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 
 
 @dataclass(slots=True, eq=False)
@@ -77,6 +78,8 @@
             self._core.owner_closed(self._now(), conn)
             self._flush()
             writer.close()
+            if writer.transport.get_write_buffer_size():  # one that does not read would hold it for good
+                asyncio.get_running_loop().call_later(LINGER_S, writer.transport.abort)
 
     async def _read(self, conn: Conn, owner: _Owner, reader: asyncio.StreamReader) -> None:
         while not owner.writer.is_closing():
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -68,11 +68,17 @@
         await asyncio.sleep(longest + SERVE_ON_S)
         for look in looks:
             look.cancel()
+        await self.close()
+        log.info("ended", **self.core.counts)
+
+    async def close(self) -> None:
+        """Breaks all connections and ends what follows the coordinator."""
         self._follower.stop()
+        if self._timer is not None:
+            self._timer.cancel()
         await self._front.close()
         for link in list(self._links.values()):
             link.close()
-        log.info("ended", **self.core.counts)
 
     # ---- Between the core and the sockets -------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_platform_core.py
@@ -0,0 +1,447 @@
+"""Messages, configuration, events and the core of the placer in service, without sockets."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import platforms
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from platforms import CALL, config, member, offer
+
+from kelpfront.interface import End, Load, MachineState, Reason
+from kelpfront.platform import door, messages
+from kelpfront.platform.config import ConfigError, config_of
+from kelpfront.platform.core import UNSENT_KEPT_MS, Core
+from kelpfront.platform.directory import BadEventError, events_of
+from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell
+from kelpfront.platform.messages import LINE_MOST, BadMessageError, Cause, decode, machine_number
+from kelpfront.rules import Scheduler
+
+NOW = 1_790_000_000_000.0
+
+
+class Stage:
+    """A core with its list, one owner's connection, and what it wanted done so far."""
+
+    def __init__(self, *members: platforms.Json) -> None:
+        self.config = config(*(members or (member("m-1"), member("m-2"))))
+        self.core = Core(self.config, Scheduler(self.config.settings, 7))
+        self.now = NOW
+        self.told: list[tuple[int, platforms.Json]] = []
+        self.done: list[Any] = []
+        self.events(self.config.known)
+        self.core.owner_opened(self.now, 1, "127.0.0.5")
+
+    def events(self, raw: platforms.Json) -> None:
+        self.core.listed(self.now, *events_of(raw, self.config))
+        self.take()
+
+    def take(self) -> None:
+        for intent in self.core.out:
+            if isinstance(intent, Tell):
+                self.told += [(intent.conn, json.loads(part)) for part in intent.data.splitlines()]
+            else:
+                self.done.append(intent)
+        self.core.out.clear()
+
+    def owner(self, data: bytes, conn: int = 1) -> bool:
+        sound = self.core.owner_says(self.now, conn, decode(data))
+        self.take()
+        return sound
+
+    def machine(self, ident: int, op: str, call: str = CALL, **fields: Any) -> None:
+        self.core.machine_says(self.now, ident, decode(platforms.line(op, call, **fields)))
+        self.take()
+
+    def later(self, ms: float) -> None:
+        until = self.now + ms
+        while (due := self.core.due) is not None and due <= until:
+            self.now = max(self.now, due)
+            self.core.tick(self.now)
+            self.take()
+        self.now = until
+
+    def written(self, call: str = CALL) -> Offer:
+        """The last offer of the call, after it has gone out."""
+        last = [i for i in self.done if isinstance(i, Offer) and i.call == call][-1]
+        assert self.core.gate(self.now, call, last.number) is not None
+        return last
+
+    def placed(self, call: str = CALL, **changes: Any) -> int:
+        self.owner(offer(call, **changes))
+        machine = self.written(call).machine
+        self.machine(machine, "accept", call, desc="given")
+        return machine
+
+    def of(self, kind: type) -> list[Any]:
+        return [intent for intent in self.done if isinstance(intent, kind)]
+
+
+# ---- Messages ---------------------------------------------------------------------------------------------
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_message_or_a_named_error(data: bytes) -> None:
+    try:
+        message = decode(data)
+    except BadMessageError as error:
+        assert str(error)
+    else:
+        assert len(message.call) == 16
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{}",
+        b"[]",
+        b'{"op":"offer","call":"xyz","with":{}}',
+        b'{"op":"offer","call":"00000000000000g1","with":{}}',
+        b'{"op":1,"call":"00000000000000a1"}',
+        b'{"op":"end","call":"00000000000000a1","why":"x"}',
+        b'{"op":"end","call":"00000000000000a1","with":{"a":[1]}}',
+        b"[" * 9000,
+        b'{"op":"\xff","call":"00000000000000a1"}',
+        b" " * (LINE_MOST + 1),
+    ],
+)
+def test_a_bad_line_is_an_error(data: bytes) -> None:
+    with pytest.raises(BadMessageError):
+        decode(data)
+
+
+@pytest.mark.parametrize(
+    ("changes", "names"),
+    [
+        ({"cls": "none such"}, "class"),
+        ({"left": "-5"}, "left"),
+        ({"left": "0"}, "left"),
+        ({"left": "1e300"}, "left"),
+        ({"left": "soon"}, "left"),
+        ({"left": "nan"}, "left"),
+        ({"left": ""}, "left"),
+        ({"extras": "cores:-1;memory:2;service:1"}, "cores"),
+        ({"extras": "cores:1e9;memory:2;service:1"}, "cores"),
+        ({"extras": "cores:inf;memory:2;service:1"}, "cores"),
+        ({"extras": "cores:1;service:1"}, "memory"),
+        ({"extras": "cores:1;memory:2;service:zz"}, "service"),
+        ({"with_": {"key": ""}}, "key"),
+        ({"cls": "keyed", "with_": {"idem": ""}}, "idem"),
+        ({"desc": ""}, "desc"),
+    ],
+)
+def test_a_set_up_that_cannot_be_is_an_error_that_names_the_field(
+    changes: dict[str, Any], names: str
+) -> None:
+    with pytest.raises(BadMessageError, match=names):
+        messages.set_up(decode(offer(**changes)), config(member("m-1")).settings)
+
+
+def test_a_set_up_goes_on_with_what_machines_are_to_see_and_no_more() -> None:
+    asked = messages.set_up(decode(offer(cls="keyed")), config(member("m-1")).settings)
+    sent = json.loads(asked.line("keyed", 812.4))
+    assert sent == {
+        "op": "offer",
+        "call": CALL,
+        "with": {"class": "keyed", "left": "812", "key": "7f3a9c21e0b4d655", "idem": "5c0f"},
+        "desc": platforms.DESC,
+    }
+
+
+def test_reports_and_causes_of_machines() -> None:
+    def said(**fields: Any) -> messages.Message:
+        return decode(platforms.line("end", **fields))
+
+    assert messages.load_of(said(with_={"load": "x0:12;x1:40;queue:3;new:9;x1:nan"})) == Load(12.0, 40.0, 3.0)
+    assert messages.load_of(said(with_={"load": ";:;x0:a"})) is None
+    assert messages.end_of(said(why=34, with_={"note": "nm"}), False) == (End.REFUSED, Reason.NO_MEMORY)
+    assert messages.end_of(said(why=47), False) == (End.ERROR, Reason.UNTOLD)
+    assert messages.end_of(said(why=102), False) == (End.NOT_SENT, Reason.UNTOLD)
+    assert messages.end_of(said(why=41), False)[0] is End.RESET
+    assert messages.end_of(said(why=16), False)[0] is End.RESET
+    assert messages.end_of(said(why=16), True)[0] is End.ENDED
+    assert messages.end_of(said(why=41, with_={"note": "ev"}), True) == (End.RESET, Reason.EVICTED)
+    assert messages.end_of(said(why=31), True)[0] is End.CANCELLED
+
+
+# ---- Configuration and events -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("changes", "names"),
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"coordinator": 5}, "coordinator"),
+        ({"limits": {"sockets": 3}}, "sockets"),
+        ({"seed": "xyz"}, "seed"),
+        ({"known": []}, "known"),
+        ({"settings": {}}, "settings"),
+        ({"settings": platforms.info(Zones=None)}, "Zones"),
+    ],
+)
+def test_a_bad_configuration_names_the_key(changes: dict[str, Any], names: str) -> None:
+    with pytest.raises(ConfigError, match=names):
+        config_of(platforms.raw_config() | changes)
+
+
+def test_events_become_lists_and_bad_ones_are_refused_whole() -> None:
+    its = config(member("m-1"))
+    index, (first,) = events_of(its.known, its)
+    assert (index, first.whole, first.entries[0].name) == (1, True, "m-1")
+    view = first.entries[0].machine
+    assert (view.state, view.free_cores, view.free_memory) == (MachineState.READY, 20.0, 40.0)
+    for broken in (
+        {"phase": "Lost"},
+        {"spare": [1]},
+        {"host_port": "x"},
+        {"cell": -1},
+        {"up_since_ms": "now"},
+    ):
+        with pytest.raises(BadEventError):
+            events_of({"index": 2, "updates": [platforms.event(2, member("m-1", **broken))]}, its)
+    shapes: list[Any] = [[], {"updates": 1}, {"updates": [1]}, {"updates": [{"index": "a"}]}]
+    for bad in shapes:
+        with pytest.raises(BadEventError):
+            events_of(bad, its)
+
+
+def test_events_that_were_taken_are_not_taken_again() -> None:
+    stage = Stage()
+    drained = platforms.event(2, member("m-1", phase="Terminating"))
+    stage.events({"index": 2, "updates": [drained]})
+    stage.events({"index": 2, "updates": [platforms.event(1, member("m-1"), whole=True)]})
+    assert stage.core.machines[machine_number("m-1")].state is MachineState.DRAINING
+
+
+# ---- One answer -------------------------------------------------------------------------------------------
+
+
+def test_a_set_up_is_offered_accepted_released_and_forgotten() -> None:
+    stage = Stage()
+    machine = stage.placed()
+    assert stage.told == [(1, {"op": "accept", "call": CALL, "with": {}, "desc": "given"})]
+    assert stage.of(Listen)
+    stage.machine(machine, "accept", desc="twice")
+    stage.machine(machine, "end", why=16)
+    stage.machine(machine, "end", why=16)
+    assert [message["op"] for _, message in stage.told] == ["accept", "end"]
+    assert not stage.core.carries(1) and not stage.core._calls and not stage.core._by_task
+
+
+def test_an_answer_from_another_machine_or_before_the_set_up_was_written_is_not_taken() -> None:
+    stage = Stage()
+    stage.owner(offer())
+    sent = stage.of(Offer)[-1]
+    stage.machine(sent.machine, "accept", desc="early")
+    other = ({machine_number("m-1"), machine_number("m-2")} - {sent.machine}).pop()
+    stage.written()
+    stage.machine(other, "accept", desc="foreign")
+    assert stage.told == []
+
+
+def test_what_a_machine_did_not_answer_is_given_up_there_before_it_is_sent_again() -> None:
+    stage = Stage()
+    stage.owner(offer(left="1500"))
+    stage.written()
+    stage.later(1400)
+    kinds = [type(intent) for intent in stage.done]
+    assert kinds[:3] == [Offer, Abandon, Offer]
+    assert stage.done[1].number == 0 and stage.done[2].number == 1
+
+
+def test_an_unsafe_task_whose_connection_broke_is_failed_at_once_not_refused() -> None:
+    stage = Stage()
+    stage.owner(offer(cls="once"))
+    sent = stage.written()
+    stage.core.broken(stage.now, CALL, sent.number)
+    stage.take()
+    ((_, answer),) = stage.told
+    assert answer["op"] == "end" and answer["why"] not in messages.HARMLESS
+    assert len(stage.of(Offer)) == 1
+
+
+def test_an_unsafe_task_that_was_never_written_goes_to_another_machine() -> None:
+    stage = Stage()
+    stage.owner(offer(cls="once"))
+    sent = stage.of(Offer)[-1]
+    stage.core.unreachable(stage.now, CALL, sent.number)
+    stage.take()
+    assert len(stage.of(Offer)) == 2 and not stage.told
+
+
+def test_what_cannot_be_placed_is_answered_in_time_and_only_once() -> None:
+    stage = Stage(member("m-1", phase="Terminating"))
+    stage.owner(offer(left="900"))
+    stage.later(900)
+    assert [(message["op"], message["why"]) for _, message in stage.told] == [("end", Cause.CONGESTION)]
+    stage.later(5000)
+    assert len(stage.told) == 1
+
+
+def test_nothing_is_written_to_a_machine_that_drains_meanwhile() -> None:
+    stage = Stage()
+    stage.owner(offer(cls="once"))
+    sent = stage.of(Offer)[-1]
+    name = next(m.name for m in stage.core.machines.values() if m.id == sent.machine)
+    stage.events({"index": 2, "updates": [platforms.event(2, member(name, phase="Terminating"))]})
+    assert stage.core.gate(stage.now, CALL, sent.number) is None
+    stage.take()
+    assert stage.of(Offer)[-1].machine != sent.machine
+
+
+def test_an_owner_that_gives_up_is_owed_nothing_and_the_machine_is_told() -> None:
+    stage = Stage()
+    stage.owner(offer())
+    sent = stage.written()
+    stage.owner(platforms.line("end", why=16))
+    assert stage.of(Abandon)[0].machine == sent.machine
+    stage.machine(sent.machine, "accept", desc="late")
+    stage.owner(platforms.line("end", why=16))
+    assert [message["op"] for _, message in stage.told] == ["ended"]
+
+
+# ---- Standing tasks ---------------------------------------------------------------------------------------
+
+
+def test_an_owner_ends_a_task_on_any_connection_and_is_owed_no_release() -> None:
+    stage = Stage()
+    machine = stage.placed()
+    stage.core.owner_opened(stage.now, 2, "127.0.0.5")
+    stage.owner(platforms.line("end", why=16), conn=2)
+    assert stage.of(Say)[0].machine == machine
+    stage.machine(machine, "end", why=31)
+    assert [message["op"] for _, message in stage.told] == ["accept", "ended"]
+
+
+def test_a_release_whose_connection_is_gone_goes_on_another_of_its_owner() -> None:
+    stage = Stage()
+    machine = stage.placed()
+    stage.core.owner_opened(stage.now, 2, "127.0.0.5")
+    stage.core.owner_opened(stage.now, 3, "127.0.0.6")
+    stage.core.owner_closed(stage.now, 1)
+    stage.machine(machine, "end", why=16)
+    assert stage.told[-1][0] == 2 and stage.told[-1][1]["op"] == "end"
+
+
+def test_a_release_with_no_connection_waits_for_the_next_while_it_is_owed() -> None:
+    stage = Stage()
+    for call, wait in ((CALL, 100.0), ("00000000000000a2", UNSENT_KEPT_MS + 1)):
+        stage.core.owner_opened(stage.now, 2, "127.0.0.7")
+        machine = stage.placed(call)
+        stage.core.owner_closed(stage.now, 1)
+        stage.core.owner_closed(stage.now, 2)
+        stage.machine(machine, "end", call, why=16)
+        stage.later(wait)
+        stage.told.clear()
+        stage.core.owner_opened(stage.now, 1, "127.0.0.5")
+        stage.take()
+        assert [message["op"] for _, message in stage.told] == (["end"] if wait < UNSENT_KEPT_MS else [])
+
+
+def test_a_task_that_is_handed_over_is_not_answered_and_its_end_is_told() -> None:
+    stage = Stage()
+    extras = "cores:1;memory:2;service:b4;at:m-1"
+    stage.owner(offer(left="4294967", extras=extras))
+    stage.owner(offer(left="4294967", extras=extras))
+    assert stage.told == [] and stage.of(Listen)[0].machine == machine_number("m-1")
+    stage.machine(machine_number("m-1"), "end", why=16)
+    assert [message["op"] for _, message in stage.told] == ["end"]
+
+
+def test_a_task_handed_over_on_a_machine_that_is_never_listed_is_over() -> None:
+    stage = Stage()
+    stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-9"))
+    stage.later(1000)
+    assert stage.told == []
+    stage.later(2000)
+    assert [message["op"] for _, message in stage.told] == ["end"]
+    assert not stage.core._unlisted and not stage.core._calls
+
+
+def test_a_task_handed_over_before_its_machine_is_listed_stands() -> None:
+    stage = Stage()
+    stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-9"))
+    stage.events({"index": 2, "updates": [platforms.event(2, member("m-9"))]})
+    stage.later(3000)
+    assert stage.told == [] and stage.core.holds(machine_number("m-9"))
+
+
+@pytest.mark.parametrize("how", ["refused", "restarted", "gone"])
+def test_tasks_end_with_their_machine(how: str) -> None:
+    stage = Stage()
+    ident = stage.placed()
+    name = stage.core.machines[ident].name
+    if how == "refused":
+        stage.core.process_gone(stage.now, ident)
+    else:
+        now = member(name, up_since_ms=NOW) if how == "restarted" else member(name, address="", phase="Gone")
+        stage.events({"index": 2, "updates": [platforms.event(2, now)]})
+    stage.take()
+    assert [message["op"] for _, message in stage.told] == ["accept", "end"]
+    assert (len(stage.of(Forget)) == 1) is (how == "gone")
+    assert not stage.core._calls
+
+
+# ---- Bad clients ------------------------------------------------------------------------------------------
+
+
+def test_a_set_up_that_cannot_be_is_refused_at_once_and_never_sent() -> None:
+    stage = Stage()
+    assert not stage.owner(offer(left="-1"))
+    assert [message["op"] for _, message in stage.told] == ["end"] and not stage.of(Offer)
+
+
+def test_the_id_of_an_open_set_up_from_elsewhere_harms_nothing() -> None:
+    stage = Stage()
+    stage.core.owner_opened(stage.now, 2, "127.0.0.66")
+    stage.owner(offer())
+    sent = stage.written()
+    assert not stage.owner(offer(desc="other"), conn=2)
+    assert [(conn, message["op"]) for conn, message in stage.told] == [(2, "end")]
+    stage.owner(platforms.line("end", why=16), conn=2)
+    stage.machine(sent.machine, "accept", desc="given")
+    assert [(conn, message["op"]) for conn, message in stage.told][-1] == (1, "accept")
+
+
+def test_two_set_ups_of_one_id_on_one_connection_are_one_refusal_and_nothing_stands() -> None:
+    stage = Stage()
+    stage.owner(offer())
+    sent = stage.written()
+    assert not stage.owner(offer(desc="other"))
+    stage.machine(sent.machine, "accept", desc="late")
+    assert [message["op"] for _, message in stage.told] == ["end"]
+    assert stage.of(Abandon) and not stage.core._calls
+
+
+@pytest.mark.parametrize("op", ["end", "info", "ringing", "nonsense", "redirect"])
+def test_words_on_calls_that_never_were_are_not_sound_or_told_an_error(op: str) -> None:
+    stage = Stage()
+    sound = stage.owner(platforms.line(op, "00000000000000ff", why=16))
+    assert not sound or [message["why"] for _, message in stage.told] == [Cause.UNKNOWN_CALL]
+
+
+def test_what_has_been_leaves_nothing_behind_but_bounded_ids() -> None:
+    stage = Stage()
+    for number in range(300):
+        call = f"{number:016x}"
+        machine = stage.placed(call)
+        stage.machine(machine, "end", call, why=16)
+    stage.later(10_000)
+    core = stage.core
+    assert not (core._calls or core._by_task or core._timers or core._unsent)
+    assert len(core._ended) == 300
+    assert not core.machines[machine_number("m-1")].standing
+
+
+def test_a_connection_that_says_nothing_sound_is_closed_within_the_time() -> None:
+    def closed(opened: float, heard: float, now: float, carries: bool = False, partial: bool = False) -> bool:
+        return door.closed_for_silence(opened, heard, carries, partial, now)
+
+    assert not closed(10.0, -1.0, 11.0)
+    assert closed(10.0, -1.0, 10.0 + door.SILENT_S)
+    assert not closed(10.0, -1.0, 99.0, carries=True)
+    assert not closed(10.0, 11.0, 99.0)
+    assert closed(10.0, 11.0, 99.0, partial=True)
--- /dev/null
+++ b/tests/test_platform_sockets.py
@@ -0,0 +1,291 @@
+"""The placer in service on loopback, among scripted owners, machines and a coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import platforms
+import pytest
+from platforms import CALL, Coordinator, Json, Machine, Peer, Placer, line, member, offer
+from waiting import until
+
+from kelpfront.platform import door, owners
+from kelpfront.platform.messages import LINE_MOST
+
+SECOND = "00000000000000a2"
+
+
+class Stage:
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.machines: dict[str, Machine] = {}
+        self.coordinator = Coordinator()
+        self.placer: Placer | None = None
+
+    async def start(self, *machines: Machine, **changes: object) -> Placer:
+        await self.coordinator.start()
+        for machine in machines:
+            await machine.start()
+            self.machines[machine.name] = machine
+        members = [member(m.name, m.address) for m in machines]
+        raw = platforms.raw_config(*members, coordinator=self.coordinator.address, **changes)
+        self.placer = Placer(self.path / "config.json", raw)
+        await self.placer.start()
+        return self.placer
+
+    async def stop(self) -> None:
+        if self.placer is not None:
+            await self.placer.stop()
+        for machine in self.machines.values():
+            machine.die()
+        await self.coordinator.stop()
+
+
+@pytest.fixture
+async def stage(tmp_path: Path) -> AsyncIterator[Stage]:
+    made = Stage(tmp_path)
+    yield made
+    await made.stop()
+
+
+async def ops(peer: Peer, *wanted: str) -> list[Json]:
+    found = []
+    for op in wanted:
+        message = await peer.read()
+        assert message is not None and message["op"] == op, f"{message} where {op} is wanted"
+        found.append(message)
+    return found
+
+
+async def closed(peer: Peer) -> None:
+    while await peer.read() is not None:
+        pass
+
+
+async def test_a_task_from_its_set_up_to_its_release(stage: Stage) -> None:
+    machine = Machine("m-1")
+    placer = await stage.start(machine)
+    owner = await placer.owner()
+    owner.say(line("test", "00000000000000f0", why=0) + offer())
+    tested, accepted = await ops(owner, "tested", "accept")
+    assert tested["why"] == 1 and accepted["desc"] == "at m-1"
+    machine.peers[0].say(line("info", CALL, with_={"note": "c", "value": 0.4}) + line("end", CALL, why=16))
+    (ended,) = await ops(owner, "end")
+    assert ended["why"] == 16
+    assert machine.offers()[0]["desc"] == platforms.DESC
+    assert 0 < float(machine.offers()[0]["with"]["left"]) <= 2000
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"\x00\xff\xfe noise\n",
+        b'{"op":"accept","call":"00000000000000a1","with":{}}\n',
+        b"x" * (3 * LINE_MOST),
+        b'{"op":"accept","call":"00000000000000a1","desc":"half',
+    ],
+    ids=["noise", "no description", "unending", "stops short"],
+)
+async def test_a_spoilt_answer_harms_what_is_its_own_and_no_other(stage: Stage, spoilt: bytes) -> None:
+    async def script(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] != "offer":
+            return
+        if message["call"] == CALL:
+            await until(lambda: len(machine.offers()) == 2)
+            peer.say(spoilt)
+            peer.writer.close()
+        else:
+            await until(lambda: not any(m["call"] == CALL for m in machine.seen) or machine.opened == 2)
+            peer.say(line("accept", message["call"], desc="good"))
+
+    placer = await stage.start(Machine("m-1", script))
+    owner = await placer.owner()
+    owner.say(offer(cls="once") + offer(SECOND, cls="once"))
+    answers = {message["call"]: message for message in [await owner.read(), await owner.read()] if message}
+    assert answers[SECOND]["desc"] == "good"
+    assert answers[CALL]["op"] == "end" and answers[CALL]["why"] == 41
+
+
+async def test_a_second_copy_and_an_unknown_answer_in_front_harm_nothing(stage: Stage) -> None:
+    async def script(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] == "offer":
+            answer = line("accept", message["call"], desc="good")
+            peer.say(line("accept", "00000000000000ee", desc="whose") + answer + answer)
+
+    placer = await stage.start(Machine("m-1", script))
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    owner.say(line("test", "00000000000000f1", why=0))
+    await ops(owner, "tested")
+
+
+async def test_tasks_of_a_dead_process_are_released_and_those_of_a_cut_connection_stand(stage: Stage) -> None:
+    machine = Machine("m-1")
+    placer = await stage.start(machine)
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    machine.peers[0].cut()
+    await until(lambda: machine.opened == 2 and machine.peers)
+    machine.peers[0].say(line("info", CALL, with_={"note": "live"}))
+    owner.say(line("test", "00000000000000f1", why=0))
+    await ops(owner, "tested")
+    machine.die()
+    (ended,) = await ops(owner, "end")
+    assert ended["why"] == 41
+
+
+async def test_an_unreachable_machine_proves_that_nothing_ran(stage: Stage) -> None:
+    dead, alive = Machine("m-1"), Machine("m-2")
+    placer = await stage.start(dead, alive)
+    dead.die()
+    owner = await placer.owner()
+    calls = [f"{number:016x}" for number in range(1, 9)]
+    owner.say(b"".join(offer(call, cls="once") for call in calls))
+    assert {message["desc"] for message in await ops(owner, *["accept"] * 8)} == {"at m-2"}
+
+
+async def test_the_coordinator_is_followed_through_broken_answers_and_to_a_new_address(stage: Stage) -> None:
+    first, second = Machine("m-1"), Machine("m-2")
+    placer = await stage.start(first, second)
+    stage.coordinator.garble = 2
+    stage.coordinator.events.append(platforms.event(2, member("m-1", first.address, "Terminating")))
+    await until(lambda: placer.core.index == 2)
+    other = Coordinator()
+    await other.start()
+    other.events.append(platforms.event(3, member("m-2", second.address, "Terminating")))
+    raw = json.loads((stage.path / "config.json").read_text())
+    (stage.path / "config.json").write_text("{")
+    os.kill(os.getpid(), signal.SIGHUP)
+    await asyncio.sleep(0)
+    (stage.path / "config.json").write_text(json.dumps(raw | {"coordinator": other.address}))
+    os.kill(os.getpid(), signal.SIGHUP)
+    await until(lambda: placer.core.index == 3)
+    assert other.asked[0] == 2
+    await other.stop()
+
+
+async def test_a_silent_coordinator_is_asked_again(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    await until(lambda: stage.coordinator.asked)
+    stage.coordinator.mute = True
+    stage.coordinator.events.append(platforms.event(2, member("m-9")))
+    asked = len(stage.coordinator.asked)
+    await until(lambda: len(stage.coordinator.asked) > asked)
+    stage.coordinator.mute = False
+    await until(lambda: placer.core.index == 2)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\x16\x03\x01\x00\xf4" * 50 + b"\n",
+        b"y" * 100_000,
+        offer()[:-20],
+        b"",
+        offer(left="-3"),
+        offer(extras="cores:99999;memory:1;service:1"),
+        line("info", "00000000000000ff"),
+        line("end", "00000000000000ff", why=16),
+        b'{"op":"offer","with":{"class":"easy"}}\n',
+    ],
+)
+async def test_bad_clients_are_told_or_closed_and_never_served(stage: Stage, data: bytes) -> None:
+    machine = Machine("m-1")
+    placer = await stage.start(machine)
+    bad = await placer.owner()
+    bad.say(data)
+    message = await bad.read()
+    assert message is None or message["op"] == "end"
+    assert not machine.offers()
+
+
+async def test_silent_connections_by_the_hundred_leave_room_for_owners(stage: Stage) -> None:
+    machine = Machine("m-1")
+    placer = await stage.start(machine)
+    most = door.Shares.of(256).owners
+    silent = [await placer.owner() for _ in range(most + 20)]
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    for peer in silent:
+        await closed(peer)
+
+
+async def test_an_owner_that_reads_nothing_is_cut_off(stage: Stage, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(owners, "UNREAD_MOST", 4096)
+    placer = await stage.start(Machine("m-1"))
+    with socket.socket() as deaf:
+        deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        deaf.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(deaf, ("127.0.0.1", placer.service.port))
+        tests = line("test", "00000000000000f1", why=0) * 200
+        with pytest.raises(ConnectionError):
+            while True:
+                await asyncio.get_running_loop().sock_sendall(deaf, tests)
+
+
+def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(platforms.raw_config() | {"coordinator": "?"}))
+    done = subprocess.run(
+        [sys.executable, "-m", "kelpfront.platform"],
+        env=os.environ | {"LB_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert str(path) in done.stderr and "coordinator" in done.stderr
+
+
+async def test_after_sigterm_what_comes_is_still_answered_then_it_ends_with_0(tmp_path: Path) -> None:
+    machine = Machine("m-1")
+    await machine.start()
+    info = platforms.info()
+    for category in info["Categories"]:
+        category["DeadlineMs"] = 1000.0
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    raw = platforms.raw_config(member("m-1", machine.address), settings=info, listen=f"127.0.0.1:{port}")
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "kelpfront.platform",
+        env=os.environ | {"LB_CONFIG": str(tmp_path / "config.json")},
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        async with asyncio.timeout(60):
+            while True:
+                try:
+                    owner = Peer(*await asyncio.open_connection("127.0.0.1", port))
+                    break
+                except OSError:
+                    await asyncio.sleep(0.01)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        later = Peer(*await asyncio.open_connection("127.0.0.1", port))
+        owner.say(offer())
+        later.say(offer(SECOND))
+        await ops(owner, "accept")
+        await ops(later, "accept")
+        async with asyncio.timeout(30):
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+        machine.die()
