Answers to owners leave at once: Nagle's algorithm is off

The listening socket was made with protocol 0, accepted ones take that over, and asyncio sets TCP_NODELAY only where the protocol is TCP (owners.py, start).

--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -42,7 +42,9 @@
     async def start(self, address: Address) -> int:
         """Listens; returns the port."""
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        # Named, not 0: asyncio turns Nagle's algorithm off only on sockets that say that they are TCP, and
+        # accepted ones say what their listener says. With it, a second answer waits 40 ms for an ACK.
+        sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind((address.host, address.port))
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -1,4 +1,4 @@
-"""A platform of the tests' own, from the protocol's page: configuration, scripted machines, owners, a list."""
+"""A platform of the tests' own, by the protocol: configuration, scripted machines, owners and a list."""
 
 from __future__ import annotations
 
