Bad clients no longer fill machines' places nor set them aside

A probe wrote out every set-up that a machine erred on and every withdrawal: the errors answered set-ups that are sound in form, from connections of which nothing was ever accepted; the withdrawals came by the hundred on one connection within half a millisecond of their set-ups.

At fault: owners.py decided each set-up before the next line was heard; now a turn's lines are heard first and what was withdrawn in it is never decided (core.py, settle). rules.py, _judge took every error as the machine's; of an owner of whom no machine has taken a task yet it strikes nothing now.

--- a/kelpfront/interface.py
+++ b/kelpfront/interface.py
@@ -269,6 +269,8 @@
     task_over: bool
     took_ms: float
     load: Load | None = None
+    vouched: bool = True
+    """Whether machines have taken tasks of this owner: where not, an error may be its own doing."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -44,6 +44,7 @@
     due: float
     attempts: int = 0
     out: Attempt | None = None
+    decided: bool = False  # the decisions know of it
     answered: bool = False
     ended: bool = False  # by its owner, or moved: the owner is owed no release
 
@@ -74,6 +75,7 @@
 @dataclass(slots=True, eq=False)
 class _Owner:
     peer: str
+    vouched: bool = False  # a machine has taken a task of its: it sends what machines can use
     calls: dict[str, Call] = field(default_factory=dict)
 
 
@@ -98,6 +100,7 @@
         self._unlisted: dict[api.MachineId, dict[str, Call]] = {}
         self._timers: list[tuple[float, int, int, object]] = []
         self._timer_numbers = itertools.count()
+        self._arrivals: list[Call] = []
         self._events: deque[api.Event] = deque()
         self._deciding = False
 
@@ -247,10 +250,12 @@
         if over:
             self._drop(call)
         took = now - attempt.bound_at
-        self._decide(
-            now,
-            api.AttemptClosed(call.task, attempt.number, attempt.machine, end, reason, over, took, load),
+        owner = self._owners.get(call.conn)
+        vouched = owner is not None and owner.vouched
+        closed = api.AttemptClosed(
+            call.task, attempt.number, attempt.machine, end, reason, over, took, load, vouched
         )
+        self._decide(now, closed)
 
     def _drop(self, call: Call) -> None:
         """The call is over and nothing of it is out."""
@@ -370,7 +375,8 @@
 
     def _withdraw(self, now: float, call: Call) -> None:
         self.counts["withdrawn"] += 1
-        self._decide(now, api.TaskWithdrawn(call.task))
+        if call.decided:
+            self._decide(now, api.TaskWithdrawn(call.task))
         if not call.answered:
             self._finish(now, call)
 
@@ -408,13 +414,24 @@
             return True
         call = Call(asked.call, next(self._numbers), conn, owner.peer, asked, now + asked.left_ms)
         self._enter(owner, call)
-        cls, service = asked.cls, asked.service
-        self._decide(
-            now,
-            api.TaskArrived(call.task, cls, service, asked.cores, asked.memory, asked.left_ms),
-        )
+        self._arrivals.append(call)
         return True
 
+    def settle(self, now: float) -> None:
+        """Has the set-ups decided that are still wanted when all that came with them has been heard.
+
+        Withdrawn in the same breath, by the hundred, they would fill machines' places in the estimates.
+        """
+        arrivals, self._arrivals = self._arrivals, []
+        for call in arrivals:
+            if not call.answered:
+                asked, left = call.set_up, max(0.0, call.due - now)
+                call.decided = True
+                self._decide(
+                    now,
+                    api.TaskArrived(call.task, asked.cls, asked.service, asked.cores, asked.memory, left),
+                )
+
     def _enter(self, owner: _Owner, call: Call) -> None:
         self._calls[call.call] = call
         self._by_task[call.task] = call
@@ -500,6 +517,9 @@
         if not message.desc:
             raise BadMessageError("accept: desc is missing", Cause.MISSING_FIELD)
         attempt.placed = call.answered = True
+        owner = self._owners.get(call.conn)
+        if owner is not None:
+            owner.vouched = True
         self.counts["accepted"] += 1
         self._tell(now, call, messages.encode("accept", call.call, {}, desc=message.desc))
         self._decide(now, api.TaskPlaced(call.task, attempt.number, attempt.machine, now - attempt.bound_at))
--- a/kelpfront/platform/door.py
+++ b/kelpfront/platform/door.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 SILENT_S = 2.0  # a connection that has said nothing sound for so long, and carries nothing, is closed
-TURN_LINES = 16  # lines of one connection that are taken before the others have their turn
+TURN_LINES = 256  # lines of one connection that are taken before the others have their turn
 UNREAD_MOST = 256 << 10  # bytes that an owner may leave unread before its connection is broken
 ACCEPT_BURST = 24  # connections that are accepted before their bounds are looked at
 
--- a/kelpfront/platform/messages.py
+++ b/kelpfront/platform/messages.py
@@ -63,6 +63,26 @@
         self.cause = cause
 
 
+class Lines:
+    """Cuts what arrives into lines, without their line feeds. What has no line feed yet is bounded."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that are whole now; BadMessageError where one is longer than a message may be."""
+        data = self._rest + data
+        *lines, self._rest = data.split(b"\n")
+        if len(self._rest) >= LINE_MOST:
+            raise BadMessageError(f"a line of over {LINE_MOST} bytes")
+        return lines
+
+    @property
+    def partial(self) -> bool:
+        """Whether a line has begun and has not ended."""
+        return bool(self._rest)
+
+
 class Message(msgspec.Struct, rename={"with_": "with"}):
     """One message. `why` is 0 and `desc` empty where they were left out."""
 
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -14,12 +14,13 @@
 from kelpfront.platform.core import Core
 from kelpfront.platform.door import ACCEPT_BURST, TURN_LINES, UNREAD_MOST, closed_for_silence
 from kelpfront.platform.intents import Conn, Tell
-from kelpfront.platform.messages import LINE_MOST, BadMessageError, decode
+from kelpfront.platform.messages import LINE_MOST, BadMessageError, Lines, decode
 
 log = structlog.get_logger("kelpfront.platform.owners")
 
 LISTEN_QUEUE = 1024  # of the kernel: a connection that finds it full is tried again only after a second
 SWEEP_S = 0.25
+READ_SIZE = 4 * LINE_MOST
 LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 
 
@@ -28,7 +29,7 @@
     writer: asyncio.StreamWriter
     opened_at: float
     heard_at: float = -1.0
-    lines: int = 0
+    partial: bool = False  # it has begun a line and not ended it
 
 
 class Front:
@@ -71,9 +72,9 @@
         self._flush()
         try:
             await self._read(conn, owner, reader)
-        except (asyncio.IncompleteReadError, OSError):
+        except OSError:
             pass
-        except (BadMessageError, asyncio.LimitOverrunError):
+        except BadMessageError:
             self._core.counts["unreadable lines"] += 1
         finally:
             self._owners.pop(conn, None)
@@ -84,14 +85,19 @@
                 asyncio.get_running_loop().call_later(LINGER_S, writer.transport.abort)
 
     async def _read(self, conn: Conn, owner: _Owner, reader: asyncio.StreamReader) -> None:
-        while not owner.writer.is_closing():
-            message = decode(await reader.readuntil(b"\n"))
-            sound = self._core.owner_says(self._now(), conn, message)
-            self._flush()
-            if sound:
-                owner.heard_at = asyncio.get_running_loop().time()
-            owner.lines += 1
-            if owner.lines % TURN_LINES == 0:
+        """Takes what has arrived, in turns. Set-ups are decided when the turn's lines have been heard."""
+        cutter = Lines()
+        while not owner.writer.is_closing() and (data := await reader.read(READ_SIZE)):
+            lines = cutter.feed(data)
+            owner.partial = cutter.partial
+            for start in range(0, len(lines), TURN_LINES):
+                try:
+                    for line in lines[start : start + TURN_LINES]:
+                        if self._core.owner_says(self._now(), conn, decode(line)):
+                            owner.heard_at = asyncio.get_running_loop().time()
+                finally:
+                    self._core.settle(self._now())
+                    self._flush()
                 await asyncio.sleep(0)
 
     def _make_room(self) -> bool:
@@ -117,7 +123,7 @@
         now = asyncio.get_running_loop().time()
         for conn, owner in list(self._owners.items()):
             carries = self._core.carries(conn)
-            if closed_for_silence(owner.opened_at, owner.heard_at, carries, False, now):
+            if closed_for_silence(owner.opened_at, owner.heard_at, carries, owner.partial, now):
                 owner.writer.close()
 
     async def close(self) -> None:
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -547,6 +547,8 @@
 
     def _judge(self, machine: _Machine, attempt: _Attempt, event: api.AttemptClosed) -> None:
         """Silence and errors by count; no connection, or a placed task lost, speaks of the whole machine."""
+        if event.end is api.End.ERROR and not event.vouched:
+            return  # owners that send what no machine can use would set the whole fleet aside
         if event.end in (api.End.TIMED_OUT, api.End.ERROR):
             self._strike(machine, attempt.task.cls.name, 1.0, event.end.value)
         elif event.end is api.End.UNREACHABLE:
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -49,6 +49,7 @@
 
     def owner(self, data: bytes, conn: int = 1) -> bool:
         sound = self.core.owner_says(self.now, conn, decode(data))
+        self.core.settle(self.now)
         self.take()
         return sound
 
@@ -416,6 +417,42 @@
     assert stage.of(Abandon) and not stage.core._calls
 
 
+def test_set_ups_withdrawn_in_the_same_breath_are_never_sent() -> None:
+    stage = Stage()
+    for number in range(100):
+        call = f"{number:016x}"
+        stage.core.owner_says(stage.now, 1, decode(offer(call)))
+        stage.core.owner_says(stage.now, 1, decode(platforms.line("end", call, why=16)))
+    stage.owner(offer())
+    assert [intent.call for intent in stage.of(Offer)] == [CALL] and not stage.told
+
+
+def test_errors_on_what_an_unknown_owner_sends_set_no_machine_aside() -> None:
+    """Guards against bad clients that no check can tell: machines err on them, and are well."""
+    stage = Stage()
+    stage.core.owner_opened(stage.now, 2, "127.0.0.66")
+    for conn, call in ((2, "00000000000000b1"), (2, "00000000000000b2"), (2, "00000000000000b3")):
+        stage.owner(offer(call, cls="once"), conn=conn)
+        stage.machine(stage.written(call).machine, "end", call, why=47)
+    assert not stage.core.logs
+    stage.placed()
+    for number in range(0xC1, 0xC5):
+        call = f"{number:016x}"
+        stage.owner(offer(call, cls="once"))
+        if any(intent.call == call for intent in stage.of(Offer)):  # none is sent once both are set aside
+            stage.machine(stage.written(call).machine, "end", call, why=47)
+    assert any("set aside for once" in text for text in stage.core.logs)
+
+
+def test_lines_are_cut_wherever_they_are_split() -> None:
+    cutter = messages.Lines()
+    assert cutter.feed(b"a\nbc") == [b"a"] and cutter.partial
+    assert cutter.feed(b"d\n\n") == [b"bcd", b""] and not cutter.partial
+    assert cutter.feed(b"x" * (LINE_MOST - 1)) == []
+    with pytest.raises(BadMessageError):
+        cutter.feed(b"x")
+
+
 @pytest.mark.parametrize("op", ["end", "info", "ringing", "nonsense", "redirect"])
 def test_words_on_calls_that_never_were_are_not_sound_or_told_an_error(op: str) -> None:
     stage = Stage()
