Quiet machines are probed; silent ones are set aside and their tasks released

Cause: a machine that is cut off keeps its connections open and says nothing, and the list tells of it only 4 to 14 s later; nobody but its own silence tells the placer, while what stood there must be released to its owner within 8 s. In the core's test a task on a silent machine was held for good, and a safe set-up waited there for 4.4 of its 5 s.

rules.py now asks machines that hold own tasks and were not heard for a second (bounded by price where losses are told), sets them aside, after two unanswered probes takes back what waits there and may be repeated, and after four counts what stands there as lost. Heard is anything that a machine says of a task.

--- a/kelpfront/interface.py
+++ b/kelpfront/interface.py
@@ -174,6 +174,8 @@
     max_retry_after_ms: float
     rules: Rules
     prices: Prices = Prices()
+    told_of_losses: bool = True
+    """Whether the placer is told when a machine is lost with its tasks, or has to find out by its silence."""
 
     def __post_init__(self) -> None:
         if self.siblings < 1:
@@ -354,6 +356,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
+    """Ask a machine for its report; after `timeout_ms` without an answer it has failed."""
+
+    machine: MachineId
+    timeout_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """What stands on the machine counts as over: it has been silent for too long."""
+
     machine: MachineId
 
 
@@ -378,7 +390,7 @@
     text: str
 
 
-Action = Bind | Refuse | Fail | CancelAttempt | Move | Probe | SetTimer | Subscribe | FetchList | Log
+Action = Bind | Refuse | Fail | CancelAttempt | Move | Probe | Lost | SetTimer | Subscribe | FetchList | Log
 
 
 def _positive(name: str, value: float) -> None:
--- a/kelpfront/platform/config.py
+++ b/kelpfront/platform/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -56,7 +56,7 @@
         raise ConfigError("a JSON object is wanted")
     info = _table(raw, "settings")
     try:
-        settings = settings_of(info)
+        settings = replace(settings_of(info), told_of_losses=False)
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"settings: {error}") from None
     sockets = _table(raw, "limits").get("sockets", 1024)
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -133,8 +133,10 @@
                     self._give_up(now, call.out, api.End.CANCELLED)
             case api.Move(task):
                 self._move(task)
-            case api.Probe(machine):
-                self._test(now, machine)
+            case api.Probe(machine, timeout):
+                self._test(now, machine, timeout)
+            case api.Lost(machine):
+                self.process_gone(now, machine)
             case api.SetTimer(at, token):
                 self._set_timer(at, _MODULE, token)
             case api.Log(text):
@@ -296,14 +298,14 @@
 
     # ---- Probes ---------------------------------------------------------------------------------------
 
-    def _test(self, now: float, machine: api.MachineId) -> None:
+    def _test(self, now: float, machine: api.MachineId, timeout: float) -> None:
         if machine not in self.machines or len(self._tests) >= TESTS_MOST:
             self._events.append(api.ProbeAnswered(machine, False, 0.0))
             return
         call = f"{next(self._numbers):016x}"
         self._tests[call] = machine, now
         self.counts["probes"] += 1
-        self._set_timer(now + self._settings.connect_timeout_ms * 2, _TEST, call)
+        self._set_timer(now + timeout, _TEST, call)
         self.out.append(Test(machine, call, messages.encode("test", call, {}, 0)))
 
     def _tested(self, now: float, call: str, ok: bool, load: api.Load | None) -> None:
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -31,8 +31,14 @@
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 
+QUIET_MS = 1000.0  # nothing heard for so long from a machine that holds own tasks: it is asked
+PROBE_MS = 600.0  # for the answer: a probe shares the line of offers
+PROBES_PRICE = 0.004  # of all that is won, at most, where losses are told anyway
+SILENT_AWAITED = 2  # probes in a row unanswered: what waits there may go elsewhere; a lost word is one
+SILENT_LOST = 4  # and what stands there is lost: owners are told within some 5 s, not at the list's leisure
+
 WHOLE = ""  # the key of what speaks of a whole machine, not of one class there
-WAKE, LIST_CALL, DEADLINE = 0, 1, 2  # what a timer token is for, in its two lowest bits
+WAKE, LIST_CALL, DEADLINE, LOOK = 0, 1, 2, 3  # what a timer token is for, in its two lowest bits
 
 
 @dataclass(slots=True, eq=False)
@@ -74,6 +80,9 @@
     turns: int = 0
     shut: dict[api.Reason, tuple[float, float]] = field(default_factory=dict)  # until when, from which size
     moved_at: float = -math.inf
+    heard_at: float = -math.inf
+    probing: bool = False
+    unheard: int = 0  # probes in a row without an answer
     health: dict[str, _Health] = field(default_factory=dict)  # what spoke badly of it, by class or WHOLE
 
     def show(self, view: api.Machine) -> None:
@@ -170,8 +179,9 @@
         self._service_ratios: dict[int, list[float]] = {}
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
         self._unseen, self._pause, self._hold_until = 0.0, 0.0, -math.inf
-        self._wake_set = self._list_asked = False
+        self._wake_set = self._look_set = self._list_asked = False
         self._list_fails = 0
+        self._probes = self._offers = 0
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at time `now` and return the actions, in the order in which they are to be done."""
@@ -199,7 +209,7 @@
                 if event.task in self._tasks:
                     self._end(self._tasks[event.task])
             case api.ProbeAnswered():
-                self._take_load(event.machine, event.load)
+                self._probed(event)
         out, self._out = self._out, []
         return out
 
@@ -389,6 +399,7 @@
         task.sent += 1
         machine.last_bind = self._now
         machine.turns -= 1
+        self._offers += 1
         machine.note_change(self._now, task.cores, task.memory)
         self._out.append(api.Bind(task.id, machine.id, self._time_out(task)))
 
@@ -419,8 +430,11 @@
         self._attempts[key] = attempt
         self._services.setdefault(attempt.task.service, {})[key] = attempt
         if attempt.machine is not None:
+            if not attempt.machine.open:
+                attempt.machine.heard_at = self._now  # nothing was to be heard before
             attempt.machine.open[key] = attempt
             attempt.machine.awaited += not attempt.placed
+        self._set_look()
 
     def _closed(self, event: api.AttemptClosed) -> None:
         self._take_load(event.machine, event.load)
@@ -437,6 +451,8 @@
         if machine is not None:
             machine.open.pop(key, None)
             machine.awaited -= not attempt.placed
+            if event.end not in (api.End.TIMED_OUT, api.End.UNREACHABLE, api.End.NOT_SENT, api.End.CANCELLED):
+                machine.heard_at = self._now
             if attempt.placed or event.end in api.NEVER_RAN:
                 machine.note_change(self._now, -task.cores, -task.memory)
             self._judge(machine, attempt, event)
@@ -486,6 +502,7 @@
         self._learn_unseen(False)
         self._pause /= 2
         if attempt.machine is not None:
+            attempt.machine.heard_at = self._now
             attempt.machine.awaited -= 1
         attempt.task.answered = True
         self._waiting.pop(event.task, None)
@@ -512,6 +529,8 @@
             self._try_waiting()
         elif kind == LIST_CALL and self._list_fails and not self._list_asked:
             self._ask_list()
+        elif kind == LOOK:
+            self._look()
         elif kind == DEADLINE and (task := self._tasks.get(ident)) and not task.answered:
             self._answer(task)
 
@@ -571,10 +590,51 @@
         health.aside_for = max(VIEW_LAG_MS, min(2 * health.aside_for, self._rules.cold_ms))
         health.aside_until = self._now + health.aside_for
 
+    def _set_look(self) -> None:
+        if self._settings.may_probe and not self._look_set:
+            self._look_set = True
+            self._out.append(api.SetTimer(self._now + QUIET_MS / 2, LOOK))
+
+    def _look(self) -> None:
+        """Asks machines that hold own tasks and are quiet: one cut off keeps its connections, silent."""
+        self._look_set = False
+        held = [m for m in self._machines.values() if m.open]
+        for machine in held:
+            dear = self._settings.prices.probe * self._probes > PROBES_PRICE * self._offers
+            if dear and self._settings.told_of_losses:
+                break
+            if not machine.probing and self._now >= machine.heard_at + QUIET_MS:
+                machine.probing = True
+                self._probes += 1
+                self._out.append(api.Probe(machine.id, PROBE_MS))
+        if held:
+            self._set_look()
+
+    def _probed(self, event: api.ProbeAnswered) -> None:
+        """No answer sets a machine aside, then frees what waits there and may be repeated, then ends all."""
+        self._take_load(event.machine, event.load)
+        machine = self._machines.get(event.machine)
+        if machine is None:
+            return
+        machine.probing = False
+        if event.ok or self._now < machine.heard_at + PROBE_MS:
+            machine.heard_at, machine.unheard = max(machine.heard_at, self._now * event.ok), 0
+            return
+        machine.unheard += 1
+        self._strike(machine, WHOLE, STRIKES, "silent")
+        if machine.unheard >= SILENT_AWAITED and self._settings.may_cancel:
+            for attempt in machine.open.values():
+                if not attempt.placed and attempt.task.cls.effect is not api.Effect.UNSAFE:
+                    self._out.append(api.CancelAttempt(attempt.task.id, attempt.number))
+        if machine.unheard >= SILENT_LOST and not self._settings.told_of_losses:
+            machine.unheard = 0
+            self._out.append(api.Lost(machine.id))
+
     def _noted(self, event: api.TaskNote) -> None:
         attempt = self._attempts.get((event.task, event.attempt))
         if attempt is None or attempt.machine is None or not math.isfinite(event.value):
             return
+        attempt.machine.heard_at = self._now
         task = attempt.task
         if event.topic is api.Topic.RUNNING:
             self._well(attempt.machine, task.cls)
--- a/kelpfront/wire.py
+++ b/kelpfront/wire.py
@@ -22,6 +22,7 @@
     ListKind,
     Load,
     Log,
+    Lost,
     Machine,
     MachineList,
     MachineState,
@@ -360,6 +361,8 @@
             return struct.pack(">BIB", 1, inst, on)
         case FetchList():
             return struct.pack(">BI", 9, inst)
+        case Lost():
+            raise WireError("the simulator tells of losses itself")
         case Log(text):
             return _text(7, inst, text)
         case BailOut(text):
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -16,7 +16,7 @@
 from kelpfront.platform.config import ConfigError, config_of
 from kelpfront.platform.core import UNSENT_KEPT_MS, Core
 from kelpfront.platform.directory import BadEventError, events_of
-from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell
+from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell, Test
 from kelpfront.platform.messages import LINE_MOST, BadMessageError, Cause, decode, machine_number
 from kelpfront.rules import Scheduler
 
@@ -386,6 +386,40 @@
     assert not stage.core._calls
 
 
+def test_a_machine_that_falls_silent_is_asked_and_its_tasks_are_released_while_that_is_owed() -> None:
+    """Guards against machines that are cut off: their connections stay open, and nobody tells of them."""
+    stage = Stage(member("m-1"))
+    stage.placed()
+    stage.later(7000)
+    assert [message["op"] for _, message in stage.told] == ["accept", "end"]
+    assert len(stage.of(Test)) >= 3
+
+
+def test_a_quiet_machine_that_answers_keeps_its_tasks() -> None:
+    stage = Stage(member("m-1"))
+    machine = stage.placed()
+    answered = 0
+    for _ in range(200):
+        stage.later(100)
+        for test in stage.of(Test)[answered:]:
+            stage.machine(machine, "tested", test.call, why=1)
+            answered += 1
+    assert [message["op"] for _, message in stage.told] == ["accept"] and answered >= 5
+
+
+@pytest.mark.parametrize(("cls", "again"), [("easy", True), ("once", False)])
+def test_what_waits_on_a_silent_machine_goes_elsewhere_only_where_that_does_no_harm(
+    cls: str, again: bool
+) -> None:
+    stage = Stage()
+    stage.owner(offer(cls=cls, left="20000"))
+    silent = stage.written().machine
+    stage.later(3500)
+    offers = stage.of(Offer)
+    assert (len(offers) == 2 and offers[1].machine != silent) is again
+    assert bool(stage.of(Abandon)) is again
+
+
 # ---- Bad clients ------------------------------------------------------------------------------------------
 
 
