Told to end, a placer answers all it took and tells of ends until the longest deadline

Checked in the logs: no set-up was left unanswered by either placer; both were out between the kill of one and its return, while the other had been told to end, so owners had nobody to ask. Ruled out: late answers (3 ms at the 99th percentile) and refusals (none).

A release of a task of a former life that comes before its owner hands it over was dropped (core.py, machine_says); it is kept now, within a bound, and told when it is. Connections are closed without a trace in the log for each.

--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -23,6 +23,7 @@
 
 CALLS_MOST = 20_000  # set-ups that wait and tasks that stand, together; more are refused as congestion
 ENDED_KEPT = 4_096  # ids of calls that are over, so that words on them that cross their end are known
+EARLY_MOST = 1_024  # releases of tasks that are still to be handed over
 UNSENT_MOST = 1_024  # releases that wait for a connection of their owner
 UNSENT_KEPT_MS = 8_000.0  # as long as a release is owed
 TESTS_MOST = 256  # probes without an answer
@@ -96,6 +97,7 @@
         self._by_peer: dict[str, dict[Conn, None]] = {}
         self._unsent: deque[tuple[float, str, bytes]] = deque()
         self._ended: dict[str, None] = {}
+        self._early: dict[str, tuple[api.MachineId, Message]] = {}
         self._tests: dict[str, tuple[api.MachineId, float]] = {}
         self._unlisted: dict[api.MachineId, dict[str, Call]] = {}
         self._timers: list[tuple[float, int, int, object]] = []
@@ -147,6 +149,16 @@
     def _set_timer(self, at: float, kind: int, what: object) -> None:
         heapq.heappush(self._timers, (at, next(self._timer_numbers), kind, what))
 
+    @property
+    def waiting(self) -> int:
+        """Set-ups that have not been answered."""
+        return sum(not call.answered for call in self._calls.values())
+
+    @property
+    def calls(self) -> int:
+        """Set-ups that have not been answered, and tasks that stand."""
+        return len(self._calls)
+
     @property
     def due(self) -> float | None:
         """When `tick` is wanted next."""
@@ -451,7 +463,10 @@
         cls, service = asked.cls, asked.service
         self._decide(now, api.TaskFound(call.task, cls, service, asked.cores, asked.memory, machine))
         known = self.machines.get(machine)
-        if known is None:
+        early = self._early.pop(call.call, None)
+        if early is not None and early[0] == machine:
+            self._released(now, call, call.out, early[1])
+        elif known is None:
             self._unlisted.setdefault(machine, {})[call.call] = call
             self._set_timer(now + UNLISTED_MS, _UNLISTED, call)
         else:
@@ -503,6 +518,11 @@
         if call is None or attempt is None or attempt.machine != machine or not attempt.written:
             if message.op in ("accept", "end", "info"):
                 self.counts[f"stray {message.op}"] += 1
+            if call is None and message.op == "end" and message.call not in self._ended:
+                # Of a former life's task: a machine tells of it on the first connection, before its owner.
+                self._early[message.call] = machine, message
+                if len(self._early) > EARLY_MOST:
+                    del self._early[next(iter(self._early))]
             return
         match message.op:
             case "accept":
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -20,6 +20,7 @@
 
 LISTEN_QUEUE = 1024  # of the kernel: a connection that finds it full is tried again only after a second
 SWEEP_S = 0.25
+CLOSE_TURNS = 50
 READ_SIZE = 4 * LINE_MOST
 LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 
@@ -127,7 +128,12 @@
                 owner.writer.close()
 
     async def close(self) -> None:
+        """Closes all connections and waits, for a bounded time, until their handlers have ended."""
         if self._server is not None:
             self._server.close()
         for owner in self._owners.values():
             owner.writer.close()
+        for _ in range(CLOSE_TURNS):
+            if not self._owners:
+                break
+            await asyncio.sleep(SWEEP_S / CLOSE_TURNS)
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -27,7 +27,8 @@
 log = structlog.get_logger("kelpfront.platform")
 
 FIGURES_S = 5.0  # between two lines of counters in the log
-SERVE_ON_S = 0.6  # after the longest deadline, once told to end: what was taken is answered by then
+SERVE_ON_S = 0.8  # once told to end: owners that have not heard of it yet still come
+ANSWERED_LOOK_S = 0.02  # between looks whether all that was taken is answered
 LATE_S = 0.2  # a turn of the loop that is later than this is logged
 
 
@@ -64,8 +65,13 @@
         gc.freeze()
         await self._ending.wait()
         longest = max(cls.deadline_ms for cls in self._config.settings.classes) / 1000.0
-        log.info("told to end", serves_on_s=longest + SERVE_ON_S)
-        await asyncio.sleep(longest + SERVE_ON_S)
+        log.info("told to end", waiting=self.core.waiting, calls=self.core.calls)
+        await asyncio.sleep(SERVE_ON_S)
+        # What was taken is answered by its deadline. Until then what stands is looked after, so that its end
+        # is told; afterwards it runs on at its machine, and is handed to the next life.
+        until = loop.time() + longest
+        while self.core.waiting or (self.core.calls and loop.time() < until):  # noqa: ASYNC110
+            await asyncio.sleep(ANSWERED_LOOK_S)
         for look in looks:
             look.cancel()
         await self.close()
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -352,6 +352,15 @@
     assert [message["op"] for _, message in stage.told] == ["end"]
 
 
+def test_a_release_that_comes_before_its_task_is_handed_over_is_told_when_it_is() -> None:
+    """Guards against tasks of a former life that would be held for good: machines tell of an end once."""
+    stage = Stage()
+    stage.machine(machine_number("m-1"), "end", why=16)
+    stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-1"))
+    assert [message["why"] for _, message in stage.told] == [16]
+    assert not stage.core._calls and not stage.core._early
+
+
 def test_a_task_handed_over_on_a_machine_that_is_never_listed_is_over() -> None:
     stage = Stage()
     stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-9"))
