A machine's release in order before the answer sets no machine aside

Checked by a probe that wrote out every reset: 43 were releases with cause 16 before an answer, on connections that went on; the same call met the same on each machine within 20 ms, so it was the task that was over. Ruled out: broken connections (three, all of the lost cell), evictions and push-outs (they carry their note and strike nothing).

messages.py, end_of gave such a release no reason, which rules.py takes for a broken connection. It says NOT_HERE now: it may have run, but nothing broke.

--- a/kelpfront/platform/messages.py
+++ b/kelpfront/platform/messages.py
@@ -240,6 +240,9 @@
     reason = _REASONS.get(message.text("note"), Reason.UNTOLD)
     if placed:
         ends = {Cause.NORMAL: End.ENDED, Cause.UNSPECIFIED: End.CANCELLED}
+    elif message.why == Cause.NORMAL:
+        # A machine that is well ends in order what is over before it stood: it may have run, nothing broke.
+        return End.RESET, Reason.NOT_HERE
     else:
         ends = {Cause.NO_CIRCUIT: End.REFUSED, Cause.UNAVAILABLE: End.ERROR, Cause.MOOT: End.NOT_SENT}
     return {int(cause): end for cause, end in ends.items()}.get(message.why, End.RESET), reason
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -162,7 +162,7 @@
     assert messages.end_of(said(why=47), False) == (End.ERROR, Reason.UNTOLD)
     assert messages.end_of(said(why=102), False) == (End.NOT_SENT, Reason.UNTOLD)
     assert messages.end_of(said(why=41), False)[0] is End.RESET
-    assert messages.end_of(said(why=16), False)[0] is End.RESET
+    assert messages.end_of(said(why=16), False) == (End.RESET, Reason.NOT_HERE)
     assert messages.end_of(said(why=16), True)[0] is End.ENDED
     assert messages.end_of(said(why=41, with_={"note": "ev"}), True) == (End.RESET, Reason.EVICTED)
     assert messages.end_of(said(why=31), True)[0] is End.CANCELLED
@@ -487,6 +487,17 @@
     assert any("set aside for once" in text for text in stage.core.logs)
 
 
+def test_machines_that_end_in_order_what_never_stood_are_not_set_aside() -> None:
+    """Guards against a fleet set aside for tasks that are over: all machines end them in milliseconds."""
+    stage = Stage()
+    for number in range(0xD1, 0xD6):
+        call = f"{number:016x}"
+        stage.owner(offer(call, cls="once"))
+        stage.machine(stage.written(call).machine, "end", call, why=16)
+    assert [message["why"] for _, message in stage.told] == [Cause.TEMPORARY_FAILURE] * 5
+    assert not stage.core.logs
+
+
 def test_lines_are_cut_wherever_they_are_split() -> None:
     cutter = messages.Lines()
     assert cutter.feed(b"a\nbc") == [b"a"] and cutter.partial
