Taking an attempt back from a silent machine leaves its task open in the heart too

Seen: make test, lose-room of the levels: a task of a lost room never got its answer. Checked: the only new thing that cancels an attempt before its task's answer is the probe's (rules.py, _probed); heart.py, _cancel closed every attempt as if its task were over, which until now was true of all. Ruled out: the core of the placer in service, which asks the call. The task is over now only where it no longer waits.

Words for a machine that is not reached are bounded (machines.py, UNSAID_MOST).

--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -901,7 +901,7 @@
             return
         for attempt in task.attempts:
             if attempt.open and not attempt.placed and attempt.number == attempt_number:
-                self._close(now, attempt, api.End.CANCELLED, end="given up", task_over=True)
+                self._close(now, attempt, api.End.CANCELLED, end="given up", task_over=not task.waits)
 
     def _move(self, number: api.TaskId) -> None:
         task = self._numbers.get(number)
--- a/kelpfront/platform/intents.py
+++ b/kelpfront/platform/intents.py
@@ -49,6 +49,8 @@
 class Test:
     """A probe."""
 
+    __test__ = False  # not a class of tests
+
     machine: MachineId
     call: str
     data: bytes
--- a/kelpfront/platform/machines.py
+++ b/kelpfront/platform/machines.py
@@ -28,6 +28,7 @@
 REFUSALS = 2  # in a row, of a machine on which tasks stand: its process is dead
 LINES_A_TURN = 64
 SWEEP_S = 2.0
+UNSAID_MOST = 256  # words on standing tasks that wait for a connection
 
 
 @dataclass(slots=True, eq=False)
@@ -125,7 +126,8 @@
             if not wire.writer.is_closing():
                 wire.writer.write(data)
                 return
-        self._unsaid.append(data)
+        if len(self._unsaid) < UNSAID_MOST:
+            self._unsaid.append(data)
         self.listen()
 
     def listen(self) -> None:
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -459,7 +459,7 @@
         task.tried[event.machine] = None
         if event.end is api.End.REFUSED and machine is not None:
             self._take_refusal(task, machine, event.reason)
-        elif event.end not in api.NEVER_RAN and not event.task_over:
+        elif event.end not in api.NEVER_RAN and not (event.task_over or task.answered):
             task.maybe_ran.append(attempt)  # not of one that is over: it would refer to itself, as garbage
         if event.task_over:
             self._end(task)
