--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from platforms import CALL, config, member, offer
 
+from kelpfront import interface as api
 from kelpfront.interface import End, Load, MachineState, Reason
 from kelpfront.platform import door, messages
 from kelpfront.platform.config import ConfigError, config_of
@@ -317,6 +318,49 @@
     assert [message["op"] for _, message in stage.told] == ["accept", "ended"]
 
 
+def test_a_move_is_told_to_owner_and_machine_and_no_release_follows() -> None:
+    stage = Stage()
+    machine = stage.placed()
+    stage.core._carry_out(stage.now, api.Move(stage.core._calls[CALL].task))
+    stage.take()
+    assert stage.of(Say)[0].machine == machine
+    stage.machine(machine, "end", why=31)
+    stage.owner(platforms.line("end", why=16))
+    assert [message["op"] for _, message in stage.told] == ["accept", "redirect", "ended"]
+
+
+def test_ends_of_owner_and_machine_that_cross_are_each_heard_and_told_once() -> None:
+    stage = Stage()
+    machine = stage.placed()
+    stage.machine(machine, "end", why=16)
+    stage.owner(platforms.line("end", why=16))
+    stage.machine(machine, "end", why=31)
+    assert [message["op"] for _, message in stage.told] == ["accept", "end", "ended"]
+
+
+def test_a_new_machine_at_the_address_of_one_that_is_gone_is_another_machine() -> None:
+    stage = Stage(member("m-1", "127.0.0.1:7"))
+    stage.placed()
+    gone, fresh = member("m-1", "127.0.0.1:7", "Gone"), member("m-2", "127.0.0.1:7")
+    stage.events({"index": 2, "updates": [platforms.event(2, gone, fresh)]})
+    stage.machine(machine_number("m-2"), "end", why=16)
+    assert [message["why"] for _, message in stage.told if message["op"] == "end"] == [41]
+    assert stage.of(Forget)[0].machine == machine_number("m-1")
+    stage.owner(offer("00000000000000a2"))
+    assert stage.of(Offer)[-1].machine == machine_number("m-2")
+
+
+def test_four_attempts_are_made_and_no_more() -> None:
+    stage = Stage(*(member(f"m-{n}") for n in range(1, 8)))
+    stage.owner(offer(left="3000"))
+    for _ in range(8):
+        open_offers = [i for i in stage.of(Offer) if stage.core.gate(stage.now, CALL, i.number) is not None]
+        for sent in open_offers:
+            stage.machine(sent.machine, "end", why=47)
+    assert len(stage.of(Offer)) == stage.config.settings.max_attempts
+    assert [message["op"] for _, message in stage.told] == ["end"]
+
+
 def test_a_release_whose_connection_is_gone_goes_on_another_of_its_owner() -> None:
     stage = Stage()
     machine = stage.placed()
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -114,6 +114,44 @@
     assert answers[CALL]["op"] == "end" and answers[CALL]["why"] == 41
 
 
+async def test_answers_to_owners_do_not_wait_for_acknowledgements(stage: Stage) -> None:
+    """Guards against 40 ms on every second answer: Nagle's algorithm against a delayed ACK."""
+    placer = await stage.start(Machine("m-1"))
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    (held,) = placer.service._front._owners.values()
+    assert held.writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+async def test_bad_clients_by_the_hundred_do_not_keep_an_owner_waiting(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    bad = await placer.owner()
+    bad.say(b"".join(offer(f"{n:016x}", left="-1") for n in range(1000, 3000)))
+    withdrawn = await placer.owner()
+    for n in range(3000, 3300):
+        withdrawn.say(offer(f"{n:016x}") + line("end", f"{n:016x}", why=16))
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    assert len(await ops(bad, *["end"] * 2000)) == 2000
+
+
+async def test_a_machine_that_closes_idle_connections_is_not_written_to_on_them(stage: Stage) -> None:
+    info = platforms.info()
+    info["Permissions"] = info["Permissions"] | {"ConnIdleMs": 1.0}
+    machine = Machine("m-1")
+    placer = await stage.start(machine, settings=info)
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    machine.peers[0].say(line("end", CALL, why=16))
+    await ops(owner, "end")
+    await until(lambda: not machine.peers)
+    owner.say(offer(SECOND))
+    await ops(owner, "accept")
+
+
 async def test_a_second_copy_and_an_unknown_answer_in_front_harm_nothing(stage: Stage) -> None:
     async def script(machine: Machine, peer: Peer, message: Json) -> None:
         if message["op"] == "offer":
