--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -157,3 +157,13 @@
     )
     result = subprocess.run([sys.executable, "-I", "-c", code], capture_output=True, text=True, check=True)
     assert result.stdout.strip() in ("[]", "['sitecustomize']")
+
+
+def test_a_placer_in_service_loads_no_other_front_store_or_tool() -> None:
+    code = (
+        "import sys, kelpfront.platform.__main__\n"
+        "print(*sorted({m.split('.')[1] for m in sys.modules if m.startswith('kelpfront.')}))"
+    )
+    result = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    wanted = {"platform", "rules", "interface", "wire", "http", "clock", "backoff", "logs"}
+    assert set(result.stdout.split()) == wanted
