--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -212,6 +213,42 @@
     await other.stop()
 
 
+async def test_placing_goes_on_without_a_coordinator(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    await stage.coordinator.stop()
+    await until(lambda: placer.service._follower._failing)
+    owner = await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+
+
+async def test_new_configurations_under_load_cost_no_answer(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    owner = await placer.owner()
+    raw = json.loads((stage.path / "config.json").read_text())
+    for number in range(1, 9):
+        other = raw | {"coordinator": f"127.0.0.1:{number}"}
+        (stage.path / "config.json").write_text(json.dumps(other))
+        os.kill(os.getpid(), signal.SIGHUP)
+        owner.say(offer(f"{number:016x}"))
+        await ops(owner, "accept")
+    assert placer.service._follower._address.port == 8
+    assert len(placer.core.machines) == 1
+
+
+async def test_a_message_of_60_megabytes_is_closed_and_costs_no_memory(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    bad = await placer.owner()
+    piece = b"z" * (1 << 20)
+    with contextlib.suppress(ConnectionError):
+        for _ in range(60):
+            bad.say(piece)
+            await bad.writer.drain()
+    await closed(bad)
+    await until(lambda: not placer.service._front._owners)
+    assert placer.core.counts["unreadable lines"] == 1
+
+
 async def test_a_silent_coordinator_is_asked_again(stage: Stage) -> None:
     placer = await stage.start(Machine("m-1"))
     await until(lambda: stage.coordinator.asked)
