--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -163,6 +163,7 @@
         self.mute = False
         self.garble = 0  # answers that break off in their middle
         self.stopped = False
+        self.slow_s = 0.0
         self.open = 0
         self.address = ""
 
@@ -186,6 +187,7 @@
                     if self.stopped:
                         return
                     await asyncio.sleep(0.005)
+                await asyncio.sleep(self.slow_s)
                 later = self.later(follow)
                 body = json.dumps({"index": follow + len(later), "updates": later}).encode()
                 answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -249,6 +249,15 @@
     assert placer.core.counts["unreadable lines"] == 1
 
 
+async def test_a_slow_coordinator_is_heard(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    stage.coordinator.slow_s = 0.2
+    for index in (2, 3, 4):
+        stage.coordinator.events.append(platforms.event(index, member(f"m-{index}")))
+        await until(lambda index=index: placer.core.index == index)  # type: ignore[misc]
+    assert len(placer.core.machines) == 4
+
+
 async def test_a_silent_coordinator_is_asked_again(stage: Stage) -> None:
     placer = await stage.start(Machine("m-1"))
     await until(lambda: stage.coordinator.asked)
