The placer in service parted by concern; links bounded while they open, spent ones retired

Found and mended:

- machines.py: while connections were still coming up, every further offer began one more, past all bounds (18 where 16 are allowed, in a test with connections that never come up); what is sent knows now of those under way, and what has no connection of its own shares one or is told at once.
A connection on which no answer came in time was used again, which the protocol says is of no use; it is retired.
An answer without its description left its set-up until its time-out, as it was taken off the connection before the core had refused it.
A link that is closed tells what was queued.
- coordinator.py: an answer of an unforeseen kind (nested a hundred thousand deep) ended the follower for good.
- calls are bounded for one connection too, patience by the class's deadline, and a bound is told by its name once.

Each has a test; two were seen to fail with the fault put back.

--- a/kelpfront/placer/heart.py
+++ b/kelpfront/placer/heart.py
@@ -34,9 +34,9 @@
 from kelpfront.placer.showing import Showing
 from kelpfront.placer.strays import Verdict, judge
 from kelpfront.placer.tasks import OVER, Attempt, Job, Task
-from kelpfront.placer.timers import Timers
 from kelpfront.rules import Scheduler
 from kelpfront.store import ResourceStore, Stored
+from kelpfront.timers import Timers
 from kelpfront.units import format_duration, parse_duration
 
 S = TaskState
--- /dev/null
+++ b/kelpfront/platform/calls.py
@@ -0,0 +1,126 @@
+"""Calls: set-ups, their attempts and the tasks that stand by them; and the ids of what is over. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from kelpfront import interface as api
+from kelpfront.platform.config import Address
+from kelpfront.platform.intents import Conn
+from kelpfront.platform.messages import Message, SetUp
+
+CALLS_MOST = 8_192  # set-ups that wait and tasks that stand, together; more are refused as congestion
+CALLS_OF_ONE = 2_048  # of them on one connection: one owner must not take the place of all
+ENDED_KEPT = 4_096  # ids of calls that are over, so that words on them that cross their end are known
+EARLY_MOST = 1_024  # releases of tasks that are still to be handed over
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A set-up, and the task that stands by it. `due` is when its owner gives up, in Unix milliseconds."""
+
+    call: str
+    task: api.TaskId
+    conn: Conn
+    peer: str
+    set_up: SetUp
+    due: float
+    attempts: int = 0
+    out: Attempt | None = None
+    decided: bool = False  # the decisions know of it
+    answered: bool = False
+    ended: bool = False  # by its owner, or moved: the owner is owed no release
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    call: Call
+    number: int
+    machine: api.MachineId
+    bound_at: float
+    due: float
+    written: bool = False
+    placed: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    """A machine of the list, and the calls that stand on it."""
+
+    id: api.MachineId
+    name: str
+    address: Address
+    state: api.MachineState
+    started_at: float
+    standing: dict[str, Call] = field(default_factory=dict)
+
+
+class CallBook:
+    """All calls of one placer. `reached` is told the name of a bound that is reached."""
+
+    def __init__(self, reached: Callable[[str], None]) -> None:
+        self._reached = reached
+        self._calls: dict[str, Call] = {}
+        self._by_task: dict[api.TaskId, Call] = {}
+        self._ended: dict[str, None] = {}
+        self._early: dict[str, tuple[api.MachineId, Message]] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    @property
+    def waiting(self) -> int:
+        """Set-ups that have not been answered."""
+        return sum(not call.answered for call in self._calls.values())
+
+    def get(self, call: str) -> Call | None:
+        return self._calls.get(call)
+
+    def of_task(self, task: api.TaskId) -> Call | None:
+        return self._by_task.get(task)
+
+    def open_attempt(self, call: str, number: int) -> Attempt | None:
+        """The attempt that is out and has no answer yet, if it is this one."""
+        found = self._calls.get(call)
+        attempt = None if found is None else found.out
+        return attempt if attempt is not None and attempt.number == number and not attempt.placed else None
+
+    def has_room(self, of_one: int) -> bool:
+        """Whether one more may be entered on a connection that has `of_one`."""
+        if len(self._calls) >= CALLS_MOST:
+            self._reached("calls")
+        elif of_one >= CALLS_OF_ONE:
+            self._reached("calls of one connection")
+        else:
+            return True
+        return False
+
+    def enter(self, call: Call) -> None:
+        self._calls[call.call] = call
+        self._by_task[call.task] = call
+
+    def drop(self, call: Call) -> None:
+        """The call is over and nothing of it is out."""
+        del self._calls[call.call]
+        del self._by_task[call.task]
+        self._ended[call.call] = None
+        if len(self._ended) > ENDED_KEPT:
+            del self._ended[next(iter(self._ended))]
+
+    def has_been(self, call: str) -> bool:
+        """Whether the id is of a call that was over not long ago."""
+        return call in self._ended
+
+    def keep_early(self, machine: api.MachineId, message: Message) -> None:
+        """The release of a task of a former life: machines tell of it before its owner hands it over."""
+        if message.call in self._ended:
+            return
+        self._early[message.call] = machine, message
+        if len(self._early) > EARLY_MOST:
+            self._reached("early releases")
+            del self._early[next(iter(self._early))]
+
+    def take_early(self, machine: api.MachineId, call: str) -> Message | None:
+        told = self._early.pop(call, None)
+        return told[1] if told is not None and told[0] == machine else None
--- a/kelpfront/platform/coordinator.py
+++ b/kelpfront/platform/coordinator.py
@@ -13,12 +13,10 @@
 from kelpfront.backoff import Backoff
 from kelpfront.http.client import HttpConnection, HttpError
 from kelpfront.platform.config import Address
+from kelpfront.platform.patience import POLL_CONNECT_MS, POLL_SLACK_MS, POLL_WAIT_MS
 
 log = structlog.get_logger("kelpfront.platform.coordinator")
 
-WAIT_MS = 1_000  # of one poll: what a silent coordinator would have told counts as told 2 s after its end
-SLACK_S = 0.5  # for the answer to a poll after its wait
-CONNECT_S = 0.5
 BODY_MOST = 4 << 20
 FIRST_PAUSE_MS, MOST_PAUSE_MS = 20.0, 400.0
 
@@ -61,9 +59,11 @@
         while True:
             try:
                 self._take(await self._ask())
-            except (HttpError, OSError, TimeoutError, ValueError) as error:
+            except Exception as error:  # of whatever kind: without this task the list would stay for good
                 self._leave()
-                if not self._failing:
+                if not isinstance(error, HttpError | OSError | TimeoutError | ValueError):
+                    log.exception("an answer of the coordinator that was not foreseen")
+                elif not self._failing:
                     log.warning("coordinator lost", error=str(error) or "no answer in time")
                 self._failing = True
                 await asyncio.sleep(self._backoff.failed() / 1000.0)
@@ -76,12 +76,12 @@
     async def _ask(self) -> Any:
         if self._connection is None or not self._connection.usable:
             self._leave()
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(POLL_CONNECT_MS / 1000.0):
                 self._connection = await HttpConnection.open(
                     self._address.host, self._address.port, BODY_MOST
                 )
-        async with asyncio.timeout(WAIT_MS / 1000.0 + SLACK_S):
-            target = f"/v2/stream?follow={self._index()}&wait_ms={WAIT_MS}"
+        async with asyncio.timeout((POLL_WAIT_MS + POLL_SLACK_MS) / 1000.0):
+            target = f"/v2/stream?follow={self._index()}&wait_ms={POLL_WAIT_MS:.0f}"
             reply = await self._connection.request("GET", target)
         if reply.status != 200:
             raise ValueError(f"HTTP {reply.status}")
--- a/kelpfront/platform/intents.py
+++ b/kelpfront/platform/intents.py
@@ -29,12 +29,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Abandon:
-    """An attempt is given up: the machine is told where the set-up has been written."""
+    """An attempt is given up: the machine is told where the set-up has been written.
+
+    `silent`: no answer came in time, so its connection may be of no more use.
+    """
 
     machine: MachineId
     call: str
     number: int
     data: bytes
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +54,7 @@
     """A probe."""
 
     __test__ = False  # not a class of tests
+    NUMBER = -1  # in place of an attempt's, where a probe is abandoned
 
     machine: MachineId
     call: str
--- a/kelpfront/platform/machines.py
+++ b/kelpfront/platform/machines.py
@@ -1,7 +1,8 @@
 """Connections to one machine: set-ups out, answers and releases in. A link chooses nothing.
 
-An answer that is spoilt, or never comes whole, makes its connection useless for all that is open on it. Each
-set-up that waits therefore has a connection of its own while there is room; afterwards it is used again.
+An answer that is spoilt, or never comes, makes its connection useless for all that is open on it. Each set-up
+that waits therefore has a connection of its own while there is room, which is used again once it was answered
+in time.
 """
 
 from __future__ import annotations
@@ -14,20 +15,20 @@
 
 import structlog
 
-from kelpfront.interface import MachineId
+from kelpfront.interface import End, MachineId
 from kelpfront.platform.config import Address
 from kelpfront.platform.core import Core
 from kelpfront.platform.intents import Abandon, Offer, Test
-from kelpfront.platform.messages import LINE_MOST, BadMessageError, decode
+from kelpfront.platform.messages import LINE_MOST, BadMessageError, Lines, Message, decode
+from kelpfront.platform.patience import REOPEN_MS, Reach
 
 log = structlog.get_logger("kelpfront.platform.machines")
 
 CONNECTIONS = 16  # to one machine, as far as all machines' share goes; set-ups share beyond
 IDLE_SHARE = 0.5  # of the time after which the machine closes idle connections
-REOPEN_S = 0.25  # between tries to reach a machine on which tasks stand
-REFUSALS = 2  # in a row, of a machine on which tasks stand: its process is dead
-LINES_A_TURN = 64
+READ_SIZE = 4 * LINE_MOST
 SWEEP_S = 2.0
+LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 UNSAID_MOST = 256  # words on standing tasks that wait for a connection
 
 
@@ -37,19 +38,26 @@
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    used_at: float
     waiting: dict[tuple[str, int], None] = field(default_factory=dict)
-    used_at: float = 0.0
+    spent: bool = False  # something on it was not answered in time
     closed: bool = False
 
+    @property
+    def usable(self) -> bool:
+        return not (self.spent or self.writer.is_closing())
+
 
 class Budget:
-    """Descriptors that all links together may hold."""
+    """Descriptors that all links together may hold; a link without any may always open one."""
 
     def __init__(self, most: int) -> None:
         self.most, self.held = most, 0
 
 
 class MachineLink:
+    """`flush` has the core's wishes carried out, and is called after each thing that was told to the core."""
+
     def __init__(
         self,
         ident: MachineId,
@@ -64,7 +72,9 @@
         self._ident, self.address, self._core, self._now, self._flush = ident, address, core, now, flush
         self._budget, self._connect_s, self._idle_s = budget, connect_s, idle_s * IDLE_SHARE
         self._wires: dict[_Wire, None] = {}
-        self._queue: deque[Offer | Test] = deque()
+        self._queue: deque[Offer | Test] = (
+            deque()
+        )  # each has a connection that is being opened, or shares one
         self._opening = 0
         self._unsaid: list[bytes] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,53 +91,71 @@
 
     def send(self, intent: Offer | Test) -> None:
         """On an idle connection, or a new one, or one that is shared where no more may be opened."""
-        wire = next((w for w in reversed(self._wires) if not w.waiting and not w.writer.is_closing()), None)
-        if wire is None and not self._may_open():
-            shared = [w for w in self._wires if not w.writer.is_closing()]
-            wire = min(shared, key=lambda w: len(w.waiting), default=None)
-        if wire is not None:
-            self._write(wire, intent)
-            return
-        self._queue.append(intent)
-        self._open()
+        idle = next((wire for wire in reversed(self._wires) if wire.usable and not wire.waiting), None)
+        if idle is not None:
+            self._write(idle, intent)
+        elif self._may_open():
+            self._queue.append(intent)
+            self._begin()
+            self._spawn(self._connect())
+        elif (shared := self._least_used()) is not None:
+            self._core.reached("connections to machines")
+            self._write(shared, intent)
+        else:  # it goes out on the first that comes up
+            self._queue.append(intent)
+
+    def _begin(self) -> None:
+        """A connection is about to be opened: what is sent until then is to know of it."""
+        self._opening += 1
+        self._budget.held += 1
 
     def _may_open(self) -> bool:
-        held = len(self._wires) + self._opening
-        return held == 0 or (held < CONNECTIONS and self._budget.held < self._budget.most)
+        usable = sum(wire.usable for wire in self._wires) + self._opening
+        room = len(self._wires) + self._opening < CONNECTIONS and self._budget.held < self._budget.most
+        return room or not usable
 
-    def _open(self) -> None:
-        self._opening += 1
-        self._budget.held += 1
-        self._spawn(self._connect())
+    def _least_used(self) -> _Wire | None:
+        return min((w for w in self._wires if w.usable), key=lambda w: len(w.waiting), default=None)
 
     def _write(self, wire: _Wire, intent: Offer | Test) -> None:
         if isinstance(intent, Test):
-            wire.writer.write(intent.data)
-            wire.waiting[intent.call, -1] = None
-            return
-        data = self._core.gate(self._now(), intent.call, intent.number)
+            data: bytes | None = intent.data
+            key = intent.call, Test.NUMBER
+        else:
+            data = self._core.gate(self._now(), intent.call, intent.number)
+            key = intent.call, intent.number
         if data is not None:
-            wire.waiting[intent.call, intent.number] = None
+            wire.waiting[key] = None
             wire.used_at = asyncio.get_running_loop().time()
             wire.writer.write(data)
 
     def abandon(self, intent: Abandon) -> None:
         key = intent.call, intent.number
-        for wire in self._wires:
+        for wire in list(self._wires):
             if key in wire.waiting:
                 del wire.waiting[key]
                 if not wire.writer.is_closing():
                     wire.writer.write(intent.data)
+                wire.spent = wire.spent or intent.silent
+                self._retire(wire)
                 return
         self._queue = deque(i for i in self._queue if isinstance(i, Test) or (i.call, i.number) != key)
 
+    def _retire(self, wire: _Wire) -> None:
+        """Closes a connection of no more use, once nothing waits on it and what was written is out."""
+        if wire.spent and not wire.waiting and not wire.writer.is_closing():
+            wire.writer.close()
+            asyncio.get_running_loop().call_later(LINGER_S, self._end, wire)
+
     def say(self, data: bytes) -> None:
-        for wire in self._wires:
-            if not wire.writer.is_closing():
-                wire.writer.write(data)
-                return
+        wire = self._least_used()
+        if wire is not None:
+            wire.writer.write(data)
+            return
         if len(self._unsaid) < UNSAID_MOST:
             self._unsaid.append(data)
+        else:
+            self._core.reached("words to a machine that is not reached")
         self.listen()
 
     def listen(self) -> None:
@@ -136,97 +164,106 @@
             self._listening = self._spawn(self._reopen())
 
     async def _reopen(self) -> None:
-        refusals = 0
+        reach = Reach()
         try:
             while not self._wires and not self.closed and (self._core.holds(self._ident) or self._unsaid):
-                self._budget.held += 1
-                self._opening += 1
+                self._begin()
                 try:
-                    await self._connect(alone=True)
+                    await self._open()
                 except ConnectionRefusedError:
-                    refusals += 1
-                    if refusals >= REFUSALS:
+                    if reach.refused():
                         self._unsaid.clear()
                         self._core.process_gone(self._now(), self._ident)
                         self._flush()
                         return
                 except (OSError, TimeoutError):
-                    refusals = 0
-                await asyncio.sleep(REOPEN_S)
+                    reach.unanswered()
+                await asyncio.sleep(REOPEN_MS / 1000.0)
         finally:
             self._listening = None
 
     # ---- Connections ----------------------------------------------------------------------------------
 
-    async def _connect(self, alone: bool = False) -> None:
-        """Opens one connection and takes what waits for it; errors go to what waits, or to the caller."""
+    async def _connect(self) -> None:
+        try:
+            await self._open()
+        except (OSError, TimeoutError):
+            self._not_opened()
+
+    async def _open(self) -> None:
+        """Opens one connection and writes what waits for it; OSError or TimeoutError where none comes up."""
         try:
             async with asyncio.timeout(self._connect_s):
                 reader, writer = await asyncio.open_connection(
                     self.address.host, self.address.port, limit=LINE_MOST
                 )
         except (OSError, TimeoutError):
-            self._budget.held -= 1
-            self._opening -= 1
-            if alone:
-                raise
-            self._unreachable()
-            return
-        except BaseException:
-            self._budget.held -= 1
-            self._opening -= 1
+            if not self.closed:
+                self._opening -= 1
+                self._budget.held -= 1
             raise
+        if self.closed:  # which has taken back what was begun
+            writer.transport.abort()
+            return
         self._opening -= 1
-        wire = _Wire(reader, writer, used_at=asyncio.get_running_loop().time())
+        wire = _Wire(reader, writer, asyncio.get_running_loop().time())
         self._wires[wire] = None
         for data in self._unsaid:
             writer.write(data)
         self._unsaid.clear()
         if self._queue:
             self._write(wire, self._queue.popleft())
+        self._share_rest()
         self._spawn(self._read(wire))
         self._flush()
 
-    def _unreachable(self) -> None:
-        """The one that has waited longest is told; others wait for connections of their own."""
-        if self._queue:
+    def _share_rest(self) -> None:
+        """What is queued and has no connection of its own under way goes out on one that is there."""
+        while len(self._queue) > self._opening and (shared := self._least_used()) is not None:
+            self._write(shared, self._queue.popleft())
+
+    def _not_opened(self) -> None:
+        """The one that has waited longest is told; and all, where nothing is left for them to go out on."""
+        self._share_rest()
+        while self._queue and len(self._queue) > self._opening:
             intent = self._queue.popleft()
             if isinstance(intent, Offer):
-                self._core.unreachable(self._now(), intent.call, intent.number)
-                self._flush()
+                self._core.unanswered(self._now(), intent.call, intent.number, End.UNREACHABLE)
+        self._flush()
 
     async def _read(self, wire: _Wire) -> None:
-        lines = 0
+        cutter = Lines()
         try:
-            while True:
-                line = await wire.reader.readuntil(b"\n")
-                message = decode(line)
-                now = self._now()
-                if message.op in ("accept", "end", "tested"):
-                    for key in [key for key in wire.waiting if key[0] == message.call]:
-                        del wire.waiting[key]
-                self._core.machine_says(now, self._ident, message)
+            while data := await wire.reader.read(READ_SIZE):
+                for line in cutter.feed(data):
+                    self._hear(decode(line))
                 self._flush()
-                lines += 1
-                if lines % LINES_A_TURN == 0:
-                    await asyncio.sleep(0)
-        except (BadMessageError, asyncio.LimitOverrunError) as error:
+        except BadMessageError as error:
             log.info("a machine's line is spoilt", machine=f"{self._ident:x}", error=str(error)[:200])
-        except (asyncio.IncompleteReadError, OSError):
+        except OSError:
             pass
         finally:
             self._end(wire)
 
+    def _hear(self, message: Message) -> None:
+        """The core first: what it cannot use leaves its set-up waiting, and is told with the connection."""
+        self._core.machine_says(self._now(), self._ident, message)
+        if message.op in ("accept", "end", "tested"):
+            for wire in list(self._wires):  # an answer may come on another connection than its set-up's
+                for key in [key for key in wire.waiting if key[0] == message.call]:
+                    del wire.waiting[key]
+                    self._retire(wire)
+
     def _end(self, wire: _Wire) -> None:
         if wire.closed:
             return
         wire.closed = True
-        self._wires.pop(wire, None)
+        del self._wires[wire]
         self._budget.held -= 1
         wire.writer.transport.abort()
         now = self._now()
         for call, number in wire.waiting:
-            self._core.broken(now, call, number)
+            self._core.unanswered(now, call, number, End.RESET)
         wire.waiting.clear()
         if not self.closed:
             if self._core.holds(self._ident):
@@ -242,8 +279,15 @@
                 self._end(wire)
 
     def close(self) -> None:
+        """Breaks all connections; what waits is told, so that nothing is held for its time-out."""
         self.closed = True
         for wire in list(self._wires):
             self._end(wire)
+        for intent in self._queue:
+            if isinstance(intent, Offer):
+                self._core.unanswered(self._now(), intent.call, intent.number, End.UNREACHABLE)
+        self._queue.clear()
         for task in list(self._tasks):
             task.cancel()
+        self._budget.held -= self._opening  # of those that are cancelled, maybe before they ran
+        self._opening = 0
--- a/kelpfront/platform/messages.py
+++ b/kelpfront/platform/messages.py
@@ -17,7 +17,7 @@
 from kelpfront.interface import Effect, End, Load, MachineId, Reason, Settings, Topic
 
 LINE_MOST = 16 << 10  # bytes of one message, its line feed included
-LEFT_MOST_MS = 3_600_000.0  # more patience than an hour is a mistake, not a wish
+LEFT_MOST = 10.0  # times the deadline of the class: more patience is a mistake, and would be held for it
 LOAD_MOST = 16  # values of one report that are looked at
 
 _CALL = re.compile(r"[0-9a-fA-F]{16}")
@@ -160,7 +160,7 @@
     extras = _pairs(message.text("extras"))
     at = extras.get("at", "")
     # Nobody waits for a task that stands: what its set-up says of patience is an upper bound of no meaning.
-    left = 0.0 if at else _number("left", message.text("left"), LEFT_MOST_MS)
+    left = 0.0 if at else _number("left", message.text("left"), LEFT_MOST * settings.classes[cls].deadline_ms)
     key, idem = message.text("key"), message.text("idem")
     if not key:
         raise BadMessageError("key: the name of the task is missing", Cause.MISSING_FIELD)
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -39,7 +39,6 @@
         self._owners: dict[Conn, _Owner] = {}
         self._numbers = itertools.count(1)
         self._server: asyncio.Server | None = None
-        self.turned_away = 0
 
     async def start(self, address: Address) -> int:
         """Listens; returns the port."""
@@ -62,14 +61,14 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self._owners) >= self._most and not self._make_room():
-            self.turned_away += 1
+            self._core.reached("owners' connections")
             writer.transport.abort()
             return
         conn = next(self._numbers)
         owner = _Owner(writer, asyncio.get_running_loop().time())
         peername = writer.get_extra_info("peername")
         self._owners[conn] = owner
-        self._core.owner_opened(self._now(), conn, peername[0] if peername else "")
+        self._core.sessions.open(self._now(), conn, peername[0] if peername else "")
         self._flush()
         try:
             await self._read(conn, owner, reader)
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import gc
+import math
 import os
 import random
 import signal
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -22,12 +24,12 @@
 from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell, Test
 from kelpfront.platform.machines import Budget, MachineLink
 from kelpfront.platform.owners import Front
+from kelpfront.platform.patience import Ending
 from kelpfront.rules import Scheduler
 
 log = structlog.get_logger("kelpfront.platform")
 
 FIGURES_S = 5.0  # between two lines of counters in the log
-SERVE_ON_S = 0.8  # once told to end: owners that have not heard of it yet still come
 ANSWERED_LOOK_S = 0.02  # between looks whether all that was taken is answered
 LATE_S = 0.2  # a turn of the loop that is later than this is logged
 
@@ -64,13 +66,11 @@
         gc.collect()
         gc.freeze()
         await self._ending.wait()
-        longest = max(cls.deadline_ms for cls in self._config.settings.classes) / 1000.0
-        log.info("told to end", waiting=self.core.waiting, calls=self.core.calls)
-        await asyncio.sleep(SERVE_ON_S)
-        # What was taken is answered by its deadline. Until then what stands is looked after, so that its end
-        # is told; afterwards it runs on at its machine, and is handed to the next life.
-        until = loop.time() + longest
-        while self.core.waiting or (self.core.calls and loop.time() < until):  # noqa: ASYNC110
+        calls = self.core.calls
+        log.info("told to end", waiting=calls.waiting, calls=len(calls))
+        longest_ms = max(cls.deadline_ms for cls in self._config.settings.classes)
+        ending = Ending(self._clock.now(), longest_ms)
+        while not ending.over(self._clock.now(), calls.waiting, len(calls)):  # noqa: ASYNC110
             await asyncio.sleep(ANSWERED_LOOK_S)
         for look in looks:
             look.cancel()
@@ -122,7 +122,8 @@
             case Listen(machine):
                 self._link(machine, lambda link: link.listen())
 
-    def _link(self, ident: MachineId, call: Any) -> None:
+    def _link(self, ident: MachineId, call: Callable[[MachineLink], None]) -> None:
+        """Has `call` done on the machine's link, which is made where there is none for its address yet."""
         machine = self.core.machines.get(ident)
         if machine is None:
             return
@@ -143,11 +144,11 @@
         call(link)
 
     def _set_timer(self) -> None:
-        due = self.core.due
-        if self._timer is not None and (due is None or due < self._timer_at):
+        due = self.core.timers.next()
+        if self._timer is not None and due < self._timer_at:
             self._timer.cancel()
             self._timer = None
-        if due is not None and self._timer is None:
+        if due < math.inf and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer_at = due
             delay = max(0.0, due - self._clock.now()) / 1000.0
@@ -156,7 +157,7 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self.core.tick(self._clock.now())
+        self.core.timers.run(self._clock.now())
         self.flush()
 
     # ---- The list, signals, looks ---------------------------------------------------------------------
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -30,7 +30,6 @@
 UNSEEN_MOST = 0.25  # of a machine's room taken to be gone already: more would leave capacity idle
 STRIKES = 2.0  # bad outcomes, less what good ones took off, before a machine is set aside: one is chance
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
-
 QUIET_MS = 1000.0  # nothing heard for so long from a machine that holds own tasks: it is asked
 PROBE_MS = 600.0  # for the answer: a probe shares the line of offers
 PROBES_PRICE = 0.004  # of all that is won, at most, where losses are told anyway
@@ -82,7 +81,7 @@
     moved_at: float = -math.inf
     heard_at: float = -math.inf
     probing: bool = False
-    unheard: int = 0  # probes in a row without an answer
+    unheard: int = 0  # probes in a row
     health: dict[str, _Health] = field(default_factory=dict)  # what spoke badly of it, by class or WHOLE
 
     def show(self, view: api.Machine) -> None:
@@ -180,8 +179,7 @@
         self._unlisted: dict[api.MachineId, list[_Attempt]] = {}
         self._unseen, self._pause, self._hold_until = 0.0, 0.0, -math.inf
         self._wake_set = self._look_set = self._list_asked = False
-        self._list_fails = 0
-        self._probes = self._offers = 0
+        self._list_fails = self._probes = self._offers = 0
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at time `now` and return the actions, in the order in which they are to be done."""
@@ -598,8 +596,7 @@
     def _look(self) -> None:
         """Asks machines that hold own tasks and are quiet: one cut off keeps its connections, silent."""
         self._look_set = False
-        held = [m for m in self._machines.values() if m.open]
-        for machine in held:
+        for machine in (held := [m for m in self._machines.values() if m.open]):
             dear = self._settings.prices.probe * self._probes > PROBES_PRICE * self._offers
             if dear and self._settings.told_of_losses:
                 break
@@ -623,9 +620,9 @@
         machine.unheard += 1
         self._strike(machine, WHOLE, STRIKES, "silent")
         if machine.unheard >= SILENT_AWAITED and self._settings.may_cancel:
-            for attempt in machine.open.values():
-                if not attempt.placed and attempt.task.cls.effect is not api.Effect.UNSAFE:
-                    self._out.append(api.CancelAttempt(attempt.task.id, attempt.number))
+            awaited = [a for a in machine.open.values() if not a.placed]
+            repeatable = [a for a in awaited if a.task.cls.effect is not api.Effect.UNSAFE]
+            self._out.extend(api.CancelAttempt(a.task.id, a.number) for a in repeatable)
         if machine.unheard >= SILENT_LOST and not self._settings.told_of_losses:
             machine.unheard = 0
             self._out.append(api.Lost(machine.id))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
 # What each part may import of the project. A part that is not named may import only what all may.
 ALL = {
     "kelpfront.logs",
+    "kelpfront.timers",
     "kelpfront.units",
     "kelpfront.clock",
     "kelpfront.numbers",
@@ -80,13 +81,14 @@
     "units",
     "numbers",
     "backoff",
+    "timers",
 )
 """Parts that do no I/O and read no clock."""
 PURE_FILES = {
     "agent": {"orphans", "recovery", "usage"},
     "client": {"informer", "retry"},
     "fronts": {"session"},
-    "platform": {"core", "directory", "door", "intents", "messages"},
+    "platform": {"calls", "core", "directory", "door", "intents", "messages", "patience", "sessions"},
     "store": {"records", "resources", "segments", "watch"},
     "tracing": {"heart", "spans"},
     "machine": {
@@ -165,5 +167,5 @@
         "print(*sorted({m.split('.')[1] for m in sys.modules if m.startswith('kelpfront.')}))"
     )
     result = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
-    wanted = {"platform", "rules", "interface", "wire", "http", "clock", "backoff", "logs"}
+    wanted = {"platform", "rules", "interface", "wire", "http", "clock", "backoff", "logs", "timers"}
     assert set(result.stdout.split()) == wanted
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 import platforms
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from platforms import CALL, config, member, offer
+from platforms import config
 
 from kelpfront import interface as api
 from kelpfront.interface import End, Load, MachineState, Reason
-from kelpfront.platform import door, messages
+from kelpfront.lab.platform import CALL, DESC, Json, event, line, member, offer
+from kelpfront.platform import calls, door, messages
 from kelpfront.platform.config import ConfigError, config_of
-from kelpfront.platform.core import UNSENT_KEPT_MS, Core
+from kelpfront.platform.core import Core
 from kelpfront.platform.directory import BadEventError, events_of
 from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell, Test
 from kelpfront.platform.messages import LINE_MOST, BadMessageError, Cause, decode, machine_number
+from kelpfront.platform.patience import SERVE_ON_MS, Ending, Reach
+from kelpfront.platform.sessions import UNSENT_KEPT_MS
 from kelpfront.rules import Scheduler
 
 NOW = 1_790_000_000_000.0
@@ -27,16 +31,16 @@
 class Stage:
     """A core with its list, one owner's connection, and what it wanted done so far."""
 
-    def __init__(self, *members: platforms.Json) -> None:
+    def __init__(self, *members: Json) -> None:
         self.config = config(*(members or (member("m-1"), member("m-2"))))
         self.core = Core(self.config, Scheduler(self.config.settings, 7))
         self.now = NOW
-        self.told: list[tuple[int, platforms.Json]] = []
+        self.told: list[tuple[int, Json]] = []
         self.done: list[Any] = []
         self.events(self.config.known)
-        self.core.owner_opened(self.now, 1, "127.0.0.5")
+        self.core.sessions.open(self.now, 1, "127.0.0.5")
 
-    def events(self, raw: platforms.Json) -> None:
+    def events(self, raw: Json) -> None:
         self.core.listed(self.now, *events_of(raw, self.config))
         self.take()
 
@@ -55,14 +59,14 @@
         return sound
 
     def machine(self, ident: int, op: str, call: str = CALL, **fields: Any) -> None:
-        self.core.machine_says(self.now, ident, decode(platforms.line(op, call, **fields)))
+        self.core.machine_says(self.now, ident, decode(line(op, call, **fields)))
         self.take()
 
     def later(self, ms: float) -> None:
         until = self.now + ms
-        while (due := self.core.due) is not None and due <= until:
+        while (due := self.core.timers.next()) <= until:
             self.now = max(self.now, due)
-            self.core.tick(self.now)
+            self.core.timers.run(self.now)
             self.take()
         self.now = until
 
@@ -78,6 +82,11 @@
         self.machine(machine, "accept", call, desc="given")
         return machine
 
+    def call(self, call: str = CALL) -> calls.Call:
+        found = self.core.calls.get(call)
+        assert found is not None
+        return found
+
     def of(self, kind: type) -> list[Any]:
         return [intent for intent in self.done if isinstance(intent, kind)]
 
@@ -149,13 +158,13 @@
         "op": "offer",
         "call": CALL,
         "with": {"class": "keyed", "left": "812", "key": "7f3a9c21e0b4d655", "idem": "5c0f"},
-        "desc": platforms.DESC,
+        "desc": DESC,
     }
 
 
 def test_reports_and_causes_of_machines() -> None:
     def said(**fields: Any) -> messages.Message:
-        return decode(platforms.line("end", **fields))
+        return decode(line("end", **fields))
 
     assert messages.load_of(said(with_={"load": "x0:12;x1:40;queue:3;new:9;x1:nan"})) == Load(12.0, 40.0, 3.0)
     assert messages.load_of(said(with_={"load": ";:;x0:a"})) is None
@@ -203,7 +212,7 @@
         {"up_since_ms": "now"},
     ):
         with pytest.raises(BadEventError):
-            events_of({"index": 2, "updates": [platforms.event(2, member("m-1", **broken))]}, its)
+            events_of({"index": 2, "updates": [event(2, member("m-1", **broken))]}, its)
     shapes: list[Any] = [[], {"updates": 1}, {"updates": [1]}, {"updates": [{"index": "a"}]}]
     for bad in shapes:
         with pytest.raises(BadEventError):
@@ -212,9 +221,9 @@
 
 def test_events_that_were_taken_are_not_taken_again() -> None:
     stage = Stage()
-    drained = platforms.event(2, member("m-1", phase="Terminating"))
+    drained = event(2, member("m-1", phase="Terminating"))
     stage.events({"index": 2, "updates": [drained]})
-    stage.events({"index": 2, "updates": [platforms.event(1, member("m-1"), whole=True)]})
+    stage.events({"index": 2, "updates": [event(1, member("m-1"), whole=True)]})
     assert stage.core.machines[machine_number("m-1")].state is MachineState.DRAINING
 
 
@@ -230,7 +239,7 @@
     stage.machine(machine, "end", why=16)
     stage.machine(machine, "end", why=16)
     assert [message["op"] for _, message in stage.told] == ["accept", "end"]
-    assert not stage.core.carries(1) and not stage.core._calls and not stage.core._by_task
+    assert not stage.core.carries(1) and not stage.core.calls
 
 
 def test_an_answer_from_another_machine_or_before_the_set_up_was_written_is_not_taken() -> None:
@@ -258,7 +267,7 @@
     stage = Stage()
     stage.owner(offer(cls="once"))
     sent = stage.written()
-    stage.core.broken(stage.now, CALL, sent.number)
+    stage.core.unanswered(stage.now, CALL, sent.number, End.RESET)
     stage.take()
     ((_, answer),) = stage.told
     assert answer["op"] == "end" and answer["why"] not in messages.HARMLESS
@@ -269,7 +278,7 @@
     stage = Stage()
     stage.owner(offer(cls="once"))
     sent = stage.of(Offer)[-1]
-    stage.core.unreachable(stage.now, CALL, sent.number)
+    stage.core.unanswered(stage.now, CALL, sent.number, End.UNREACHABLE)
     stage.take()
     assert len(stage.of(Offer)) == 2 and not stage.told
 
@@ -288,7 +297,7 @@
     stage.owner(offer(cls="once"))
     sent = stage.of(Offer)[-1]
     name = next(m.name for m in stage.core.machines.values() if m.id == sent.machine)
-    stage.events({"index": 2, "updates": [platforms.event(2, member(name, phase="Terminating"))]})
+    stage.events({"index": 2, "updates": [event(2, member(name, phase="Terminating"))]})
     assert stage.core.gate(stage.now, CALL, sent.number) is None
     stage.take()
     assert stage.of(Offer)[-1].machine != sent.machine
@@ -298,10 +307,10 @@
     stage = Stage()
     stage.owner(offer())
     sent = stage.written()
-    stage.owner(platforms.line("end", why=16))
+    stage.owner(line("end", why=16))
     assert stage.of(Abandon)[0].machine == sent.machine
     stage.machine(sent.machine, "accept", desc="late")
-    stage.owner(platforms.line("end", why=16))
+    stage.owner(line("end", why=16))
     assert [message["op"] for _, message in stage.told] == ["ended"]
 
 
@@ -311,8 +320,8 @@
 def test_an_owner_ends_a_task_on_any_connection_and_is_owed_no_release() -> None:
     stage = Stage()
     machine = stage.placed()
-    stage.core.owner_opened(stage.now, 2, "127.0.0.5")
-    stage.owner(platforms.line("end", why=16), conn=2)
+    stage.core.sessions.open(stage.now, 2, "127.0.0.5")
+    stage.owner(line("end", why=16), conn=2)
     assert stage.of(Say)[0].machine == machine
     stage.machine(machine, "end", why=31)
     assert [message["op"] for _, message in stage.told] == ["accept", "ended"]
@@ -321,19 +330,27 @@
 def test_a_move_is_told_to_owner_and_machine_and_no_release_follows() -> None:
     stage = Stage()
     machine = stage.placed()
-    stage.core._carry_out(stage.now, api.Move(stage.core._calls[CALL].task))
+    stage.core._carry_out(stage.now, api.Move(stage.call().task))
     stage.take()
     assert stage.of(Say)[0].machine == machine
     stage.machine(machine, "end", why=31)
-    stage.owner(platforms.line("end", why=16))
+    stage.owner(line("end", why=16))
     assert [message["op"] for _, message in stage.told] == ["accept", "redirect", "ended"]
 
 
+def test_what_an_owner_says_of_a_task_before_its_machine_is_listed_reaches_the_machine() -> None:
+    stage = Stage()
+    stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-9"))
+    stage.owner(line("end", why=16))
+    stage.events({"index": 2, "updates": [event(2, member("m-9"))]})
+    assert [intent.machine for intent in stage.of(Say)] == [machine_number("m-9")]
+
+
 def test_ends_of_owner_and_machine_that_cross_are_each_heard_and_told_once() -> None:
     stage = Stage()
     machine = stage.placed()
     stage.machine(machine, "end", why=16)
-    stage.owner(platforms.line("end", why=16))
+    stage.owner(line("end", why=16))
     stage.machine(machine, "end", why=31)
     assert [message["op"] for _, message in stage.told] == ["accept", "end", "ended"]
 
@@ -342,7 +359,7 @@
     stage = Stage(member("m-1", "127.0.0.1:7"))
     stage.placed()
     gone, fresh = member("m-1", "127.0.0.1:7", "Gone"), member("m-2", "127.0.0.1:7")
-    stage.events({"index": 2, "updates": [platforms.event(2, gone, fresh)]})
+    stage.events({"index": 2, "updates": [event(2, gone, fresh)]})
     stage.machine(machine_number("m-2"), "end", why=16)
     assert [message["why"] for _, message in stage.told if message["op"] == "end"] == [41]
     assert stage.of(Forget)[0].machine == machine_number("m-1")
@@ -364,8 +381,8 @@
 def test_a_release_whose_connection_is_gone_goes_on_another_of_its_owner() -> None:
     stage = Stage()
     machine = stage.placed()
-    stage.core.owner_opened(stage.now, 2, "127.0.0.5")
-    stage.core.owner_opened(stage.now, 3, "127.0.0.6")
+    stage.core.sessions.open(stage.now, 2, "127.0.0.5")
+    stage.core.sessions.open(stage.now, 3, "127.0.0.6")
     stage.core.owner_closed(stage.now, 1)
     stage.machine(machine, "end", why=16)
     assert stage.told[-1][0] == 2 and stage.told[-1][1]["op"] == "end"
@@ -374,14 +391,14 @@
 def test_a_release_with_no_connection_waits_for_the_next_while_it_is_owed() -> None:
     stage = Stage()
     for call, wait in ((CALL, 100.0), ("00000000000000a2", UNSENT_KEPT_MS + 1)):
-        stage.core.owner_opened(stage.now, 2, "127.0.0.7")
+        stage.core.sessions.open(stage.now, 2, "127.0.0.7")
         machine = stage.placed(call)
         stage.core.owner_closed(stage.now, 1)
         stage.core.owner_closed(stage.now, 2)
         stage.machine(machine, "end", call, why=16)
         stage.later(wait)
         stage.told.clear()
-        stage.core.owner_opened(stage.now, 1, "127.0.0.5")
+        stage.core.sessions.open(stage.now, 1, "127.0.0.5")
         stage.take()
         assert [message["op"] for _, message in stage.told] == (["end"] if wait < UNSENT_KEPT_MS else [])
 
@@ -402,7 +419,7 @@
     stage.machine(machine_number("m-1"), "end", why=16)
     stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-1"))
     assert [message["why"] for _, message in stage.told] == [16]
-    assert not stage.core._calls and not stage.core._early
+    assert not stage.core.calls
 
 
 def test_a_task_handed_over_on_a_machine_that_is_never_listed_is_over() -> None:
@@ -412,13 +429,13 @@
     assert stage.told == []
     stage.later(2000)
     assert [message["op"] for _, message in stage.told] == ["end"]
-    assert not stage.core._unlisted and not stage.core._calls
+    assert not stage.core._unlisted and not stage.core.calls
 
 
 def test_a_task_handed_over_before_its_machine_is_listed_stands() -> None:
     stage = Stage()
     stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-9"))
-    stage.events({"index": 2, "updates": [platforms.event(2, member("m-9"))]})
+    stage.events({"index": 2, "updates": [event(2, member("m-9"))]})
     stage.later(3000)
     assert stage.told == [] and stage.core.holds(machine_number("m-9"))
 
@@ -432,11 +449,11 @@
         stage.core.process_gone(stage.now, ident)
     else:
         now = member(name, up_since_ms=NOW) if how == "restarted" else member(name, address="", phase="Gone")
-        stage.events({"index": 2, "updates": [platforms.event(2, now)]})
+        stage.events({"index": 2, "updates": [event(2, now)]})
     stage.take()
     assert [message["op"] for _, message in stage.told] == ["accept", "end"]
     assert (len(stage.of(Forget)) == 1) is (how == "gone")
-    assert not stage.core._calls
+    assert not stage.core.calls
 
 
 def test_a_machine_that_falls_silent_is_asked_and_its_tasks_are_released_while_that_is_owed() -> None:
@@ -470,7 +487,7 @@
     stage.later(3500)
     offers = stage.of(Offer)
     assert (len(offers) == 2 and offers[1].machine != silent) is again
-    assert bool(stage.of(Abandon)) is again
+    assert any(intent.call == CALL for intent in stage.of(Abandon)) is again
 
 
 # ---- Bad clients ------------------------------------------------------------------------------------------
@@ -484,12 +501,12 @@
 
 def test_the_id_of_an_open_set_up_from_elsewhere_harms_nothing() -> None:
     stage = Stage()
-    stage.core.owner_opened(stage.now, 2, "127.0.0.66")
+    stage.core.sessions.open(stage.now, 2, "127.0.0.66")
     stage.owner(offer())
     sent = stage.written()
     assert not stage.owner(offer(desc="other"), conn=2)
     assert [(conn, message["op"]) for conn, message in stage.told] == [(2, "end")]
-    stage.owner(platforms.line("end", why=16), conn=2)
+    stage.owner(line("end", why=16), conn=2)
     stage.machine(sent.machine, "accept", desc="given")
     assert [(conn, message["op"]) for conn, message in stage.told][-1] == (1, "accept")
 
@@ -501,7 +518,7 @@
     assert not stage.owner(offer(desc="other"))
     stage.machine(sent.machine, "accept", desc="late")
     assert [message["op"] for _, message in stage.told] == ["end"]
-    assert stage.of(Abandon) and not stage.core._calls
+    assert stage.of(Abandon) and not stage.core.calls
 
 
 def test_set_ups_withdrawn_in_the_same_breath_are_never_sent() -> None:
@@ -509,7 +526,7 @@
     for number in range(100):
         call = f"{number:016x}"
         stage.core.owner_says(stage.now, 1, decode(offer(call)))
-        stage.core.owner_says(stage.now, 1, decode(platforms.line("end", call, why=16)))
+        stage.core.owner_says(stage.now, 1, decode(line("end", call, why=16)))
     stage.owner(offer())
     assert [intent.call for intent in stage.of(Offer)] == [CALL] and not stage.told
 
@@ -517,7 +534,7 @@
 def test_errors_on_what_an_unknown_owner_sends_set_no_machine_aside() -> None:
     """Guards against bad clients that no check can tell: machines err on them, and are well."""
     stage = Stage()
-    stage.core.owner_opened(stage.now, 2, "127.0.0.66")
+    stage.core.sessions.open(stage.now, 2, "127.0.0.66")
     for conn, call in ((2, "00000000000000b1"), (2, "00000000000000b2"), (2, "00000000000000b3")):
         stage.owner(offer(call, cls="once"), conn=conn)
         stage.machine(stage.written(call).machine, "end", call, why=47)
@@ -554,7 +571,7 @@
 @pytest.mark.parametrize("op", ["end", "info", "ringing", "nonsense", "redirect"])
 def test_words_on_calls_that_never_were_are_not_sound_or_told_an_error(op: str) -> None:
     stage = Stage()
-    sound = stage.owner(platforms.line(op, "00000000000000ff", why=16))
+    sound = stage.owner(line(op, "00000000000000ff", why=16))
     assert not sound or [message["why"] for _, message in stage.told] == [Cause.UNKNOWN_CALL]
 
 
@@ -566,11 +583,39 @@
         stage.machine(machine, "end", call, why=16)
     stage.later(10_000)
     core = stage.core
-    assert not (core._calls or core._by_task or core._timers or core._unsent)
-    assert len(core._ended) == 300
+    assert not core.calls and not core.sessions._unsent and core.timers.next() == math.inf
+    assert sum(core.calls.has_been(f"{number:016x}") for number in range(300)) == 300
     assert not core.machines[machine_number("m-1")].standing
 
 
+def test_calls_are_bounded_for_all_and_for_one_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(calls, "CALLS_MOST", 3)
+    monkeypatch.setattr(calls, "CALLS_OF_ONE", 2)
+    stage = Stage()
+    stage.core.sessions.open(stage.now, 2, "127.0.0.6")
+    for number, conn in ((1, 1), (2, 1), (3, 1), (4, 2), (5, 2)):
+        stage.owner(offer(f"{number:016x}"), conn=conn)
+    refused = {message["call"][-1]: message["why"] for _, message in stage.told}
+    assert refused == {"3": Cause.CONGESTION, "5": Cause.CONGESTION}
+    told = [text for text in stage.core.logs if "bound" in text]
+    assert told == ["bound reached: calls of one connection", "bound reached: calls"]
+
+
+def test_a_process_is_dead_after_refusals_in_a_row() -> None:
+    reach = Reach()
+    assert not reach.refused()
+    reach.unanswered()
+    assert [reach.refused(), reach.refused()] == [False, True]
+
+
+def test_a_placer_told_to_end_answers_all_and_looks_after_what_stands_for_a_while() -> None:
+    ending = Ending(told_at=1000.0, longest_ms=4000.0)
+    first, last = 1000.0 + SERVE_ON_MS, 5000.0 + SERVE_ON_MS
+    assert not ending.over(first - 1, 0, 0) and ending.over(first, 0, 0)
+    assert not ending.over(last - 1, 0, 5) and ending.over(last, 0, 5)
+    assert not ending.over(last, 1, 1)
+
+
 def test_a_connection_that_says_nothing_sound_is_closed_within_the_time() -> None:
     def closed(opened: float, heard: float, now: float, carries: bool = False, partial: bool = False) -> bool:
         return door.closed_for_silence(opened, heard, carries, partial, now)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -15,10 +15,11 @@
 
 import platforms
 import pytest
-from platforms import CALL, Coordinator, Json, Machine, Peer, Placer, line, member, offer
+from platforms import Placer
 from waiting import until
 
-from kelpfront.platform import door, owners
+from kelpfront.lab.platform import CALL, DESC, Coordinator, Json, Machine, Peer, event, line, member, offer
+from kelpfront.platform import door, machines, owners
 from kelpfront.platform.messages import LINE_MOST
 
 SECOND = "00000000000000a2"
@@ -81,7 +82,7 @@
     machine.peers[0].say(line("info", CALL, with_={"note": "c", "value": 0.4}) + line("end", CALL, why=16))
     (ended,) = await ops(owner, "end")
     assert ended["why"] == 16
-    assert machine.offers()[0]["desc"] == platforms.DESC
+    assert machine.offers()[0]["desc"] == DESC
     assert 0 < float(machine.offers()[0]["with"]["left"]) <= 2000
 
 
@@ -153,6 +154,58 @@
     await ops(owner, "accept")
 
 
+async def test_a_connection_on_which_no_answer_came_is_not_used_again(stage: Stage) -> None:
+    async def script(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] == "offer" and machine.opened > 1:
+            peer.say(line("accept", message["call"], desc="on another"))
+
+    machine = Machine("m-1", script)
+    placer = await stage.start(machine)
+    owner = await placer.owner()
+    owner.say(offer(left="600"))
+    await ops(owner, "accept")
+    await until(lambda: len(machine.peers) == 1)
+
+
+async def test_an_answer_that_cannot_be_used_is_told_at_once(stage: Stage) -> None:
+    """Guards against a set-up held for its deadline: the answer was read, and its connection ended."""
+
+    async def script(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] == "offer":
+            peer.say(line("accept", message["call"]))
+
+    placer = await stage.start(Machine("m-1", script))
+    owner = await placer.owner()
+    owner.say(offer(cls="once", left="29000"))
+    (ended,) = await ops(owner, "end")  # reads for less long than the owner would wait
+    assert ended["why"] == 41
+
+
+async def test_connections_under_way_are_bounded_and_what_waits_is_told(
+    stage: Stage, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    under_way, most = 0, 0
+
+    async def never(host: str, port: int, **more: object) -> None:
+        nonlocal under_way, most
+        if f"{host}:{port}" != machine.address:
+            raise OSError("not in this test")
+        under_way, most = under_way + 1, max(most, under_way + 1)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            under_way -= 1
+
+    machine = Machine("m-1")
+    placer = await stage.start(machine)
+    owner = await placer.owner()
+    monkeypatch.setattr("asyncio.open_connection", never)
+    calls = [f"{number:016x}" for number in range(1, 41)]
+    owner.say(b"".join(offer(call, cls="once", left="900") for call in calls))
+    ended = await ops(owner, *["end"] * 40)
+    assert {message["why"] for message in ended} == {42} and 1 < most <= machines.CONNECTIONS
+
+
 async def test_a_second_copy_and_an_unknown_answer_in_front_harm_nothing(stage: Stage) -> None:
     async def script(machine: Machine, peer: Peer, message: Json) -> None:
         if message["op"] == "offer":
@@ -197,11 +250,12 @@
     first, second = Machine("m-1"), Machine("m-2")
     placer = await stage.start(first, second)
     stage.coordinator.garble = 2
-    stage.coordinator.events.append(platforms.event(2, member("m-1", first.address, "Terminating")))
+    stage.coordinator.noise = [b"[" * 100_000, b'{"index":-1}', b"[]", b"\xff"]
+    stage.coordinator.events.append(event(2, member("m-1", first.address, "Terminating")))
     await until(lambda: placer.core.index == 2)
     other = Coordinator()
     await other.start()
-    other.events.append(platforms.event(3, member("m-2", second.address, "Terminating")))
+    other.events.append(event(3, member("m-2", second.address, "Terminating")))
     raw = json.loads((stage.path / "config.json").read_text())
     (stage.path / "config.json").write_text("{")
     os.kill(os.getpid(), signal.SIGHUP)
@@ -253,7 +307,7 @@
     placer = await stage.start(Machine("m-1"))
     stage.coordinator.slow_s = 0.2
     for index in (2, 3, 4):
-        stage.coordinator.events.append(platforms.event(index, member(f"m-{index}")))
+        stage.coordinator.events.append(event(index, member(f"m-{index}")))
         await until(lambda index=index: placer.core.index == index)  # type: ignore[misc]
     assert len(placer.core.machines) == 4
 
@@ -262,7 +316,7 @@
     placer = await stage.start(Machine("m-1"))
     await until(lambda: stage.coordinator.asked)
     stage.coordinator.mute = True
-    stage.coordinator.events.append(platforms.event(2, member("m-9")))
+    stage.coordinator.events.append(event(2, member("m-9")))
     asked = len(stage.coordinator.asked)
     await until(lambda: len(stage.coordinator.asked) > asked)
     stage.coordinator.mute = False
--- a/tools/policy_limits.py
+++ b/tools/policy_limits.py
@@ -16,13 +16,13 @@
     lines = [
         (name, n, line) for name in files for n, line in enumerate((root / name).read_text().split("\n"), 1)
     ]
-    filled = sum(bool(line.strip()) for _, _, line in lines)
-    print(f"{', '.join(files)}: {filled} lines that are not blank ({MOST_LINES} at most)")
+    count = len(lines) - len(files)  # what stands behind a file's last line feed is no line
+    print(f"{', '.join(files)}: {count} lines ({MOST_LINES} at most)")
     long = [
         f"{name}:{n}: over {MOST_COLUMNS} characters" for name, n, line in lines if len(line) > MOST_COLUMNS
     ]
     print("\n".join(long), end="\n" if long else "")
-    return 1 if long or filled > MOST_LINES else 0
+    return 1 if long or count > MOST_LINES else 0
 
 
 if __name__ == "__main__":
