Owners that hold on for good make room for those who come later

Cause: owners.py made room only by connections that had never said anything sound; owners that ask once and hold on for good filled the share, and usual ones were shut out with the bad. Ruled out: descriptors (280 of 384). Who makes room is judged in door.py now (pure): who never spoke, then who is idle longest, never who waits.

--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -12,7 +12,14 @@
 
 from kelpfront.platform.config import Address
 from kelpfront.platform.core import Core
-from kelpfront.platform.door import ACCEPT_BURST, TURN_LINES, UNREAD_MOST, closed_for_silence
+from kelpfront.platform.door import (
+    ACCEPT_BURST,
+    TURN_LINES,
+    UNREAD_MOST,
+    Guest,
+    closed_for_silence,
+    least_wanted,
+)
 from kelpfront.platform.intents import Conn, Tell
 from kelpfront.platform.messages import LINE_MOST, BadMessageError, Lines, decode
 
@@ -101,13 +108,16 @@
                 await asyncio.sleep(0)
 
     def _make_room(self) -> bool:
-        """Closes the connection that has been open longest without a sound word."""
-        for conn, owner in self._owners.items():
-            if owner.heard_at < 0 and not self._core.carries(conn) and not owner.writer.is_closing():
-                owner.writer.transport.abort()
-                del self._owners[conn]
-                return True
-        return False
+        now = asyncio.get_running_loop().time()
+        guests = (
+            (conn, Guest(owner.opened_at, owner.heard_at, self._core.carries(conn)))
+            for conn, owner in self._owners.items()
+        )
+        conn = least_wanted(guests, now)
+        if conn is None:
+            return False
+        self._owners.pop(conn).writer.transport.abort()
+        return True
 
     def tell(self, intent: Tell) -> None:
         owner = self._owners.get(intent.conn)
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -588,6 +588,22 @@
     assert not core.machines[machine_number("m-1")].standing
 
 
+def test_room_is_made_by_who_never_spoke_then_by_who_is_idle_longest_never_by_who_waits() -> None:
+    guests = {
+        "waits": door.Guest(1.0, 1.5, carries=True),
+        "idle": door.Guest(2.0, 4.0, carries=False),
+        "idle longer": door.Guest(3.0, 3.5, carries=False),
+        "silent": door.Guest(6.0, -1.0, carries=False),
+        "silent longer": door.Guest(5.0, -1.0, carries=False),
+        "just heard": door.Guest(9.0, 9.9, carries=False),
+    }
+    order = []
+    while (found := door.least_wanted(guests.items(), 10.0)) is not None:
+        order.append(found)
+        del guests[found]
+    assert order == ["silent longer", "silent", "idle longer", "idle"]
+
+
 def test_calls_are_bounded_for_all_and_for_one_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(calls, "CALLS_MOST", 3)
     monkeypatch.setattr(calls, "CALLS_OF_ONE", 2)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -360,6 +360,18 @@
         await closed(peer)
 
 
+async def test_owners_that_asked_once_and_hold_on_do_not_shut_out_the_next(stage: Stage) -> None:
+    placer = await stage.start(Machine("m-1"))
+    most = door.Shares.of(256).owners
+    for number in range(most + 20):
+        owner = await placer.owner()
+        owner.say(line("test", f"{number:016x}", why=0))
+        await ops(owner, "tested")
+        if number % 50 == 0:
+            await asyncio.sleep(door.IDLE_S)
+    assert len(placer.service._front._owners) <= most
+
+
 async def test_an_owner_that_reads_nothing_is_cut_off(stage: Stage, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(owners, "UNREAD_MOST", 4096)
     placer = await stage.start(Machine("m-1"))
