--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -317,6 +317,7 @@
 async def test_after_a_boot_of_the_host_its_tasks_are_lost_and_never_started_again(tmp_path: Path) -> None:
     async with agent(tmp_path, boot="boot-1") as its:
         await its.offer("t1", START + "sleep 60")
+        await until(lambda: its.lines("starts"))  # it runs before its shell has written
         os.killpg(its.pid("t1"), signal.SIGKILL)
         os.kill(its.pid("t1", "claim"), signal.SIGKILL)
         await its.kill()
