EvictionOrder: which owner's connection makes room bears the field's name

Reason: GuestBook hid a standard concept, the order in which idle connections are evicted when a new one comes and the bound is reached. Change: class, its method next_evicted and the front's field are renamed; nothing else.

--- a/kelpfront/platform/admission.py
+++ b/kelpfront/platform/admission.py
@@ -39,7 +39,7 @@
         return max(OWNERS_LEAST, min(self.owners, self.both - machines))
 
 
-class GuestBook(Generic[K]):
+class EvictionOrder(Generic[K]):
     """Owners' connections in the order in which they may have to make room for a new one; times in seconds.
 
     Kept in order as they come and are heard, since at the bound each new connection asks for one.
@@ -67,7 +67,7 @@
         self._silent.pop(key, None)
         self._heard.pop(key, None)
 
-    def least_wanted(self, now: float, carries: Callable[[K], bool]) -> K | None:
+    def next_evicted(self, now: float, carries: Callable[[K], bool]) -> K | None:
         """Whose connection makes room; None where all are in use, or were opened or heard just now.
 
         First the one that has been silent longest, then the one that was heard longest ago and carries
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -14,7 +14,7 @@
     ACCEPT_BURST,
     TURN_LINES,
     UNREAD_MOST,
-    GuestBook,
+    EvictionOrder,
     closed_for_silence,
 )
 from kelpfront.platform.config import Address
@@ -54,7 +54,7 @@
         self._core, self._now, self._flush, self._most = core, now, flush, most
         self._turns = turns
         self._owners: dict[Conn, _Owner] = {}
-        self._guests: GuestBook[Conn] = GuestBook()
+        self._eviction: EvictionOrder[Conn] = EvictionOrder()
         self._numbers = itertools.count(1)
         self._server: asyncio.Server | None = None
 
@@ -88,9 +88,9 @@
         owner = _Owner(writer, asyncio.get_running_loop().time())
         peername = writer.get_extra_info("peername")
         self._owners[conn] = owner
-        self._guests.opened(conn, owner.opened_at)
+        self._eviction.opened(conn, owner.opened_at)
         loop = asyncio.get_running_loop()
-        loop.call_soon(loop.call_soon, loop.call_soon, self._guests.looked_at, conn)  # after the next poll
+        loop.call_soon(loop.call_soon, loop.call_soon, self._eviction.looked_at, conn)  # after the next poll
         self._core.sessions.open(self._now(), conn, peername[0] if peername else "")
         self._flush()
         try:
@@ -101,7 +101,7 @@
             self._core.counts["unreadable lines"] += 1
         finally:
             self._owners.pop(conn, None)
-            self._guests.gone(conn)
+            self._eviction.gone(conn)
             self._core.owner_closed(self._now(), conn)
             self._flush()
             writer.close()
@@ -121,17 +121,17 @@
                     for line in lines[start : start + TURN_LINES]:
                         if self._core.owner_says(self._now(), conn, decode(line), unread.for_ms()):
                             owner.heard_at = loop.time()
-                            self._guests.heard(conn, owner.heard_at)
+                            self._eviction.heard(conn, owner.heard_at)
                 finally:
                     self._core.settle(self._now())
                     self._flush()
                 await asyncio.sleep(0)
 
     def _make_room(self) -> bool:
-        conn = self._guests.least_wanted(asyncio.get_running_loop().time(), self._core.carries)
+        conn = self._eviction.next_evicted(asyncio.get_running_loop().time(), self._core.carries)
         if conn is None:
             return False
-        self._guests.gone(conn)
+        self._eviction.gone(conn)
         writer = self._owners.pop(conn).writer
         if writer.transport.get_write_buffer_size():  # it does not read
             writer.transport.abort()
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -680,21 +680,21 @@
 
 
 def test_room_is_made_by_who_never_spoke_then_by_who_is_idle_longest_never_by_who_waits() -> None:
-    book: admission.GuestBook[str] = admission.GuestBook()
+    eviction: admission.EvictionOrder[str] = admission.EvictionOrder()
     opened = {"waits": 1.0, "idle": 2.0, "idle longer": 3.0, "silent longer": 5.0, "silent": 6.0, "new": 9.8}
     for name, at in (opened | {"just heard": 9.0}).items():
-        book.opened(name, at)
+        eviction.opened(name, at)
         if name != "new":
-            book.looked_at(name)
+            eviction.looked_at(name)
     for name, at in (("waits", 1.5), ("idle", 2.5), ("idle longer", 3.5), ("idle", 4.0), ("just heard", 9.9)):
-        book.heard(name, at)
+        eviction.heard(name, at)
     order = []
-    while (found := book.least_wanted(10.0, lambda name: name == "waits")) is not None:
+    while (found := eviction.next_evicted(10.0, lambda name: name == "waits")) is not None:
         order.append(found)
-        book.gone(found)
+        eviction.gone(found)
     assert order == ["silent longer", "silent", "idle longer", "idle"]
-    book.looked_at("new")
-    assert book.least_wanted(10.0, lambda name: name == "waits") == "new"
+    eviction.looked_at("new")
+    assert eviction.next_evicted(10.0, lambda name: name == "waits") == "new"
 
 
 def test_owners_and_machines_together_stay_within_the_descriptors() -> None:
@@ -708,14 +708,14 @@
 
 def test_a_crowd_that_comes_at_once_does_not_shut_out_what_it_brought() -> None:
     """Guards against connections closed in the turn in which they were opened, their set-ups unread."""
-    book: admission.GuestBook[int] = admission.GuestBook()
+    order: admission.EvictionOrder[int] = admission.EvictionOrder()
     for number in range(100):
-        book.opened(number, 1.0)
-        assert book.least_wanted(9.0, lambda _: False) is None
+        order.opened(number, 1.0)
+        assert order.next_evicted(9.0, lambda _: False) is None
     for number in range(100):
-        book.looked_at(number)
+        order.looked_at(number)
     assert (
-        book.least_wanted(1.1, lambda _: False) == 0
+        order.next_evicted(1.1, lambda _: False) == 0
     )  # they said nothing: silent ones do not shut out others
 
 
