Imports run one way: the store's circle and lab's way to the command line end, a test holds it

Reason: store/resources.py and store/watch.py imported each other, lab/wrongserve.py imported the command line, and the list of pure files still named two that were renamed, so three files went unlooked at. Change: Stored and its key are store/objects.py; the wrong placer's start is kelpfront/cli/wrongserve.py; the tests look for circles over all files (graphlib), for cli below lab, and for pure files that are not there; five more platform files are held pure.

--- a/kelpfront/lab/wrongserve.py
+++ b/kelpfront/cli/wrongserve.py
@@ -1,4 +1,4 @@
-"""`python -m kelpfront.lab.wrongserve NAME serve ...`: the program with a placer that is wrong on purpose."""
+"""`python -m kelpfront.cli.wrongserve NAME serve ...`: the program with a placer that is wrong on purpose."""
 
 from __future__ import annotations
 
--- a/kelpfront/lab/process.py
+++ b/kelpfront/lab/process.py
@@ -122,7 +122,7 @@
         wrong: str = "",
     ) -> None:
         """`wrong`: one of `wrongplacers.WRONG`, which takes the place of what decides around the module."""
-        self._program = ("kelpfront.lab.wrongserve", wrong) if wrong else ("kelpfront",)
+        self._program = ("kelpfront.cli.wrongserve", wrong) if wrong else ("kelpfront",)
         self.number, self.name = number, f"placer-{number}"
         self._count, self._work, self._rooms = count, work, rooms
         self._listen = "127.0.0.1:0"
--- a/kelpfront/store/watch.py
+++ b/kelpfront/store/watch.py
@@ -10,12 +10,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TYPE_CHECKING
 
 from kelpfront.api.selectors import Selector
-
-if TYPE_CHECKING:
-    from kelpfront.store.resources import Stored
+from kelpfront.store.objects import Stored
 
 
 class EventType(StrEnum):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,7 @@
 import yaml
 from clusters import SETTINGS, cluster
 
-from kelpfront.lab import wrongserve
+from kelpfront.cli import wrongserve
 from kelpfront.lab.standins import FleetModel
 from kelpfront.lab.wrongplacers import NeverStops
 from kelpfront.service import app
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import graphlib
 import subprocess
 import sys
 from pathlib import Path
@@ -94,14 +95,18 @@
         "calls",
         "core",
         "directory",
-        "door",
+        "fleet",
+        "freshness",
+        "handovers",
+        "admission",
         "intents",
         "messages",
         "pacing",
-        "patience",
+        "probes",
         "sessions",
+        "timeouts",
     },
-    "store": {"records", "resources", "segments", "watch"},
+    "store": {"objects", "records", "resources", "segments", "watch"},
     "tracing": {"heart", "spans"},
     "machine": {
         "admission",
@@ -142,6 +147,8 @@
 @pytest.mark.parametrize("path", modules(), ids=lambda path: str(path.relative_to(ROOT)))
 def test_imports_run_one_way(path: Path) -> None:
     part = part_of(path)
+    if part == "lab":  # beside all others; the command line is above it
+        assert not {name for name in imports(path) if name.split(".")[:2] == ["kelpfront", "cli"]}
     if part in ("cli", "lab", "__init__", "__main__"):
         return
     allowed = MAY.get(part, set()) | (
@@ -154,6 +161,28 @@
         assert top in allowed or top == f"kelpfront.{part}", f"{path.name} imports {name}"
 
 
+def test_no_file_imports_itself_by_way_of_others() -> None:
+    """Guards against two files that need each other, also where one import is for types alone."""
+    dotted = {".".join(path.relative_to(ROOT.parent).with_suffix("").parts): path for path in modules()}
+    files = {name.removesuffix(".__init__"): path for name, path in dotted.items()}
+    graph: dict[str, set[str]] = {}
+    for name, path in files.items():
+        needed = imports(path)
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module:  # of a package: the file that is meant
+                needed.discard(node.module)
+                whole = (f"{node.module}.{alias.name}" for alias in node.names)
+                needed |= {one if one in files else node.module for one in whole}
+        graph[name] = (needed & set(files)) - {name}
+    graphlib.TopologicalSorter(graph).prepare()  # CycleError names the circle
+
+
+def test_each_pure_file_that_is_named_is_there() -> None:
+    """Guards against a file that is renamed and no longer looked at."""
+    for part, names in PURE_FILES.items():
+        assert not names - {path.stem for path in (ROOT / part).rglob("*.py")}
+
+
 @pytest.mark.parametrize("path", modules(), ids=lambda path: str(path.relative_to(ROOT)))
 def test_what_decides_does_no_io_and_reads_no_clock(path: Path) -> None:
     part = part_of(path)
