--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -38,9 +38,7 @@
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 QUIET_MS = 1000.0  # nothing heard for so long from a machine that owes an answer: it is asked
 LOST_MS = 7000.0  # silent for so long, what stands there is over: owners are told within 8 s of its end
-BLIND_MS = (
-    3000.0  # nothing is offered by a list that may hide drains, for so long: then by the list as it was
-)
+BLIND_MS = 3000.0  # nothing is offered by a list that may hide drains, so long: then by the list as it was
 PROBE_MS = 600.0  # for the answer: a probe shares the line of offers
 PROBES_PRICE = 0.004  # of all that is won, at most, where losses are told anyway
 SILENT_AWAITED = 2  # probes in a row unanswered: what waits there may go elsewhere; a lost word is one
@@ -180,10 +178,7 @@
         return False
 
     def _learn_unseen(self, refused: bool) -> None:
-        """The share of room that others take within the view's lag, whatever the cause, shows in refusals.
-
-        It settles where REFUSED_SHARE of the offers are refused.
-        """
+        """Room that others take within the view's lag shows in refusals: settles where REFUSED_SHARE are."""
         settings = self._settings
         step = settings.mean_cores / (min(settings.kind_cores) * settings.accepts_cores)
         self._unseen += step if refused else -step * REFUSED_SHARE / (1 - REFUSED_SHARE)
@@ -446,13 +441,11 @@
             self._try(task)
 
     def _take_refusal(self, task: Task, machine: Machine, reason: api.Reason) -> None:
-        """The view overstates the room: nothing as large goes there until it could catch up.
-
-        Too many offers waiting shut it for all sizes; a refusal without a reason tells of the class.
-        """
-        if reason is api.Reason.UNTOLD:
+        """The view overstates the room: nothing as large goes there until it could catch up."""
+        if reason is api.Reason.UNTOLD:  # it tells of the class
             self._strike(machine, task.cls.name, STRIKES, "turned away")
         elif reason is not api.Reason.NOT_HERE:
+            # Too many offers waiting shut it for all sizes.
             least = {api.Reason.NO_CORES: task.cores, api.Reason.NO_MEMORY: task.memory}.get(reason, 0.0)
             if least:
                 self._learn_unseen(True)
@@ -586,13 +579,10 @@
             self._set_look()
 
     def _ask_at(self, machine: Machine) -> float:
-        """When a machine is asked whether it lives: soon where it owes an answer.
-
-        Where tasks only stand there it is as late as their owners allow: nearly all machines hold some of a
-        placer's, and sixteen placers that asked each quiet one by the second asked more than they offered.
-        """
+        """When a machine is asked whether it lives: soon where it owes an answer, else as owners allow."""
         if machine.unheard:
             return machine.heard_at + LOST_MS - PROBE_MS
+        # Nearly all hold tasks of each placer: sixteen that asked by the second asked more than they offered.
         late = machine.heard_at + LOST_MS - SILENT_LOST * PROBE_MS - QUIET_MS / 2
         owed = [a.sent_at for a in machine.open.values() if not a.placed] if machine.awaited else []
         return min(late, max(machine.heard_at, min(owed)) + QUIET_MS) if owed else late
