Cold machines: an offer that waits for its connection may not fall into later slots

Turns for a cold machine are given out by slots that are longer by a connect time-out, for offers that are held up. Nothing held them to it: Bind.within_ms was infinite but for keyed repeats (rules.py, _try), and on the platform an offer that waits in a pool's queue for the first connection that comes up (platform/machines.py, send) goes out until its time-out, seconds later. Many turns of several slots then go out at once.

An offer to a cold machine now waits for half of a connect time-out, the other half is left for clocks that differ. Such an end, not sent after that time, speaks of the machine as no connection does: it would else never be set aside.

The share of the budget that goes out is as before.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -59,6 +59,8 @@
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
         self._tightness = max(LEAST_TIGHTNESS, smallest / settings.siblings**0.75)
         self._lowest_priority = min(cls.priority for cls in settings.classes)
+        self._slot_ms = (settings.rules.cold_window_ms + settings.connect_timeout_ms) / 3
+        self._held_up_ms = settings.connect_timeout_ms / 2  # at most, for a connection to a cold machine
         self._now = 0.0
         self._born_at: float | None = None
         self._out: list[api.Action] = []
@@ -357,6 +359,8 @@
         self._offers += 1
         self._note_change(machine, task.cores, task.memory)
         within = self._window_left(task, task.maybe_ran)
+        if self._now < machine.cold_until:
+            within = min(within, self._held_up_ms)
         self._out.append(api.Bind(task.id, machine.id, self._time_out(task), within))
 
     def _window_left(self, task: Task, attempts: list[Attempt]) -> float:
@@ -542,7 +546,11 @@
             return  # owners that send what no machine can use would set the whole fleet aside
         if event.end in (api.End.TIMED_OUT, api.End.ERROR):
             self._strike(machine, attempt.task.cls.name, 1.0, event.end.value)
-        elif event.end is api.End.UNREACHABLE:
+        elif event.end is api.End.UNREACHABLE or (
+            event.end is api.End.NOT_SENT  # a cold one's connection did not come up in its shorter time
+            and attempt.sent_at < machine.cold_until
+            and self._now >= attempt.sent_at + self._held_up_ms
+        ):
             self._strike(machine, WHOLE, 1.0, event.end.value)
         elif event.end is api.End.RESET and event.reason in (api.Reason.UNTOLD, api.Reason.SENT_AWAY):
             self._strike(machine, WHOLE, STRIKES if attempt.placed else 1.0, event.end.value)
@@ -663,18 +671,18 @@
     def _fits_cold(self, machine: Machine) -> bool:
         """Offers to a cold machine, refused ones too, go by turns that the common clock gives out to placers.
 
-        The told number is given out over four slots of a third of a window, so no window sees more. It is
-        longer by a connect time-out, which may hold offers up. A former life may have spent the first slot.
+        An offer of any size is one turn: the told number is of offers of any class. It is given out over four
+        slots of a third of a window, lengthened by a connect time-out: half of that for offers that are held
+        up, half for clocks that differ. So no window sees more. A former life may have spent the first slot.
         """
-        rules, settings = self._rules, self._settings
-        slot_ms = (rules.cold_window_ms + settings.connect_timeout_ms) / 3
-        slot = int(self._now // slot_ms)
+        settings = self._settings
+        slot = int(self._now // self._slot_ms)
         if machine.slot != slot:
-            first, last = (n * int(rules.cold_offers) // 4 for n in (slot, slot + 1))
+            first, last = (n * int(self._rules.cold_offers) // 4 for n in (slot, slot + 1))
             turns, rest = divmod(last - first, settings.siblings)
             mine = (settings.me + machine.id - first) % settings.siblings < rest
             machine.slot, machine.turns = slot, turns + mine
-            if self._born_at is not None and slot == int(self._born_at // slot_ms):
+            if self._born_at is not None and slot == int(self._born_at // self._slot_ms):
                 machine.turns = 0
         return machine.turns > 0
 
--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,179 @@
+"""What all placers together may send to a machine that is cold, over any window of the told length.
+
+Many schedulers are driven by one virtual time, each by its own clock, and always have more work than they may
+send. An offer counts anywhere between its bind and the last instant at which it may still be written.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from helpers import Driver, full_list, machine, of, settings
+from hypothesis import given
+from hypothesis import settings as runs
+from hypothesis import strategies as st
+
+from kelpfront import Scheduler
+from kelpfront.interface import (
+    AttemptClosed,
+    Bind,
+    End,
+    Event,
+    ListKind,
+    Machine,
+    Reason,
+    TaskArrived,
+    TaskWithdrawn,
+)
+
+WINDOW, CONNECT = 1500.0, 200.0
+BEGIN = 1_800_000_000_000.0
+IDENT = 0x5A17
+
+
+class ColdFleet:
+    """Placers and the offers that each machine may see, as the first and last instant of each."""
+
+    def __init__(
+        self, placers: int, budget: float, cold: tuple[Machine, ...] = (), numbers: range | None = None
+    ) -> None:
+        base = settings(siblings=placers, connect_timeout_ms=CONNECT)
+        rules = replace(base.rules, cold_window_ms=WINDOW, cold_offers=budget, cold_ms=1e9)
+        self.settings = replace(base, rules=rules)
+        self.listed = cold or (machine(IDENT, started_at=BEGIN - 10.0),)
+        self.budget = budget
+        self.numbers = numbers or range(placers)
+        self.schedulers = {me: self.born(me) for me in self.numbers}
+        self.ahead = dict.fromkeys(self.numbers, 0.0)  # of each placer's clock, in milliseconds
+        self.offers: dict[int, list[tuple[float, float]]] = defaultdict(list)
+        self.tasks = 0
+
+    def born(self, me: int, life: int = 0) -> Scheduler:
+        return Scheduler(replace(self.settings, me=me), seed=me + 1000 * life)
+
+    def tell(self, me: int, at: float, *machines: Machine, kind: ListKind = ListKind.FULL) -> None:
+        self.handle(me, at, full_list(*(machines or self.listed), kind=kind))
+
+    def handle(self, me: int, at: float, event: Event) -> list[Bind]:
+        return of(self.schedulers[me].handle(at + self.ahead[me], event), Bind)
+
+    def spend(self, me: int, at: float, size: float = 1e-6) -> int:
+        """The placer offers all that it may at this instant; the number."""
+        for made in range(10_000):
+            self.tasks += 1
+            arrived = TaskArrived(self.tasks, 0, self.tasks, size, size, 4000.0)
+            binds = self.handle(me, at, arrived)
+            if not binds:
+                self.handle(me, at, TaskWithdrawn(self.tasks))
+                return made
+            (bind,) = binds
+            until = at + min(bind.timeout_ms, bind.within_ms)
+            self.offers[bind.machine].append((at, until))
+            closed = AttemptClosed(self.tasks, 0, bind.machine, End.REFUSED, Reason.NOT_HERE, True, 1.0)
+            self.handle(me, at, closed)
+        raise AssertionError("no end of offers")
+
+    def worst(self) -> int:
+        """The most offers that any machine may see in any window."""
+        return max((most_in_a_window(offers) for offers in self.offers.values()), default=0)
+
+    def excess(self) -> float:
+        """Of the worst window over the budget, in roots of the budget."""
+        return (self.worst() - self.budget) / math.sqrt(self.budget)
+
+
+def most_in_a_window(offers: list[tuple[float, float]]) -> int:
+    """Each offer falls anywhere in its interval; windows are half open."""
+    marks = sorted([(first, 1) for first, _ in offers] + [(last + WINDOW, -1) for _, last in offers])
+    most = held = 0
+    for _, change in sorted(marks):
+        held += change
+        most = max(most, held)
+    return most
+
+
+def put_down_to_chance(budget: float) -> float:
+    return budget + 2 * math.sqrt(budget) + 2
+
+
+def slot_ms() -> float:
+    return (WINDOW + CONNECT) / 3
+
+
+def instants(slots: int, pivot: int, chance: random.Random | None = None) -> Callable[[], list[float]]:
+    """One instant in each slot: the last one before the pivot and the first from it on, or any."""
+    begin = math.ceil(BEGIN / slot_ms()) + 1
+
+    def draw() -> list[float]:
+        parts = [0.99 if n < pivot else 0.001 for n in range(slots)]
+        if chance is not None:
+            parts = [chance.choice([part, part, chance.random()]) for part in parts]
+        return [(begin + n + part) * slot_ms() for n, part in enumerate(parts)]
+
+    return draw
+
+
+def play(fleet: ColdFleet, draw: Callable[[], list[float]]) -> None:
+    """Each placer spends what it may once in each of its slots, in the order of time."""
+    turns = [(at - fleet.ahead[me], me) for me in fleet.numbers for at in draw()]
+    for at, me in sorted(turns):
+        fleet.spend(me, at)
+
+
+BUDGETS = st.sampled_from([1, 2, 3, 5, 9, 10, 20, 57, 120, 250])
+PLACERS = st.sampled_from([3, 20, 30, 60])
+
+
+@runs(max_examples=60)
+@given(PLACERS, BUDGETS, st.integers(0, 2**48), st.integers(1, 12), st.integers(0, 2**32))
+def test_no_window_sees_more_though_offers_are_held_up_and_clocks_differ(
+    placers: int, budget: int, ident: int, pivot: int, seed: int
+) -> None:
+    """Guards against offers that wait for a connection until their time-out, and go out in a later slot."""
+    chance = random.Random(seed)
+    fleet = ColdFleet(placers, budget, (machine(ident, started_at=BEGIN - 10.0),))
+    for me in fleet.numbers:
+        fleet.ahead[me] = chance.choice([0.0, CONNECT / 2, chance.uniform(0.0, CONNECT / 2)])
+        fleet.tell(me, BEGIN)
+    play(fleet, instants(13, pivot, chance))
+    assert fleet.worst() <= budget
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("budget", [9, 57])
+@pytest.mark.parametrize("placers", [3, 20, 30, 60])
+def test_the_turns_are_not_fewer_than_the_page_of_the_design_says(
+    placers: int, budget: int, seed: int
+) -> None:
+    """All that is told goes out in four slots, so over a long time a window has three quarters of it.
+
+    The slots are lengthened by a connect time-out, which takes its part. Guards against a ramp that starves.
+    """
+    fleet = ColdFleet(placers, budget, (machine(seed * 977, started_at=BEGIN - 10.0),))
+    for me in fleet.numbers:
+        fleet.tell(me, BEGIN)
+    play(fleet, instants(40, 40, random.Random(seed)))
+    assert sum(len(offers) for offers in fleet.offers.values()) == 10 * budget
+
+
+def test_a_cold_machine_whose_connections_do_not_come_up_is_set_aside() -> None:
+    """Its offers wait for less than a connect time-out, so that their end is another: not sent."""
+    its = settings(siblings=1)
+    driver = Driver(replace(its, rules=replace(its.rules, cold_offers=400.0)))
+    driver.listing(machine(1), machine(2))
+    driver.now = 60_000.0
+    driver.listing(machine(1, started_at=driver.now - 10.0), kind=ListKind.CHANGES)
+    went: list[int] = []
+    for task in range(60):
+        (bind,) = of(driver.arrive(task, service=task, cores=0.01, memory=0.01), Bind)
+        went.append(bind.machine)
+        if bind.machine == 1 and went.count(1) <= 2:
+            assert bind.within_ms == its.connect_timeout_ms / 2
+            driver.close(task, 0, 1, End.NOT_SENT, over=True, after=bind.within_ms)
+    assert went.count(1) == 2
+    assert went[-1] == 2
