Cold machines: one that leaves the list and returns within a slot has no second turns

A machine that goes from the list is forgotten with the turns it had (rules.py, _listed), and comes back as a new one with all turns of the slot (slot -1, _fits_cold). A list that drops machines and names them again, to all placers alike, doubles what a slot gives. A placer's own restart was held by its birth slot alone.

Both are one rule now: a machine that is listed anew gets nothing in the slot in which it is.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -62,7 +62,7 @@
         self._slot_ms = (settings.rules.cold_window_ms + settings.connect_timeout_ms) / 3
         self._held_up_ms = settings.connect_timeout_ms / 2  # at most, for a connection to a cold machine
         self._now = 0.0
-        self._born_at: float | None = None
+        self._began = False
         self._out: list[api.Action] = []
         self._machines: dict[api.MachineId, Machine] = {}
         self._ready: list[Machine] = []  # those that the list names ready, and their cores
@@ -88,8 +88,8 @@
         self._now = max(now, self._now)
         while self._lapses and self._lapses[0][0] <= self._now - VIEW_LAG_MS:
             self._lapses.popleft()[1].lapse(self._now)
-        if self._born_at is None:
-            self._born_at = self._now
+        if not self._began:
+            self._began = True
             if self._settings.list_on_request:
                 self._ask_list()
         match event:
@@ -673,7 +673,8 @@
 
         An offer of any size is one turn: the told number is of offers of any class. It is given out over four
         slots of a third of a window, lengthened by a connect time-out: half of that for offers that are held
-        up, half for clocks that differ. So no window sees more. A former life may have spent the first slot.
+        up, half for clocks that differ. So no window sees more. A machine that is listed anew has none in its
+        slot: a former life of this placer, or of the machine's entry, may have had them.
         """
         settings = self._settings
         slot = int(self._now // self._slot_ms)
@@ -682,8 +683,6 @@
             turns, rest = divmod(last - first, settings.siblings)
             mine = (settings.me + machine.id - first) % settings.siblings < rest
             machine.slot, machine.turns = slot, turns + mine
-            if self._born_at is not None and slot == int(self._born_at // self._slot_ms):
-                machine.turns = 0
         return machine.turns > 0
 
     # ---- Discovery ------------------------------------------------------------------------------------
@@ -733,6 +732,7 @@
         if machine is None:
             cores, memory = self._settings.kind_cores[entry.kind], self._settings.kind_memory[entry.kind]
             machine = self._machines[entry.id] = Machine(entry.id, entry, cores, memory, VIEW_LAG_MS)
+            machine.slot = int(self._now // self._slot_ms)
             machine.show(entry)
             self._count_ready()
             self._adopt(machine)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -26,6 +26,7 @@
     Event,
     ListKind,
     Machine,
+    MachineState,
     Reason,
     TaskArrived,
     TaskWithdrawn,
@@ -144,6 +145,37 @@
     assert fleet.worst() <= budget
 
 
+@runs(max_examples=60)
+@given(PLACERS, BUDGETS, st.integers(1, 12), st.integers(0, 2**32))
+def test_no_window_sees_more_though_placers_restart_and_the_machine_leaves_the_list_and_returns(
+    placers: int, budget: int, pivot: int, seed: int
+) -> None:
+    """Guards against turns of one slot that are had twice: by two lives of a placer, or of a list's entry.
+
+    Placers also learn of the machine one after another, and one that is started anew has another seed.
+    """
+    chance = random.Random(seed)
+    fleet = ColdFleet(placers, budget)
+    gone = replace(fleet.listed[0], state=MachineState.GONE)
+    knowing: set[int] = set()
+    for at, me in sorted((at, me) for me in fleet.numbers for at in instants(13, pivot, chance)()):
+        if me not in knowing:
+            if chance.random() < 0.5:
+                fleet.tell(me, at)
+                knowing.add(me)
+            continue
+        fleet.spend(me, at)
+        match chance.randrange(4):
+            case 0:
+                fleet.schedulers[me] = fleet.born(me, chance.randrange(100))
+                fleet.tell(me, at + 0.1)
+            case 1:
+                fleet.tell(me, at + 0.1, gone, kind=ListKind.CHANGES)
+                fleet.tell(me, at + 0.2, kind=ListKind.CHANGES)
+        fleet.spend(me, at + 0.3)
+    assert fleet.worst() <= budget
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("budget", [9, 57])
 @pytest.mark.parametrize("placers", [3, 20, 30, 60])
