Cold machines: placers that go by a stepped clock have their share of any stretch of turns

Clocks are slewed (clock.py), so placers started after a step of the wall clock differ from older ones by the whole step, for hours. Turns went round by number (rules.py, _fits_cold), and a fleet restarts by number: with a budget under the number of placers one part had all turns of some seconds, and the other part had its own by another clock at the same time.

Neighbours in number are now far apart in the line: steps of the golden section of the ring, which spread any run of numbers evenly. No slot gives more or less than before.

--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -39,6 +39,7 @@
 QUIET_MS = 1000.0  # nothing heard for so long from a machine that owes an answer: it is asked
 LOST_MS = 7000.0  # silent for so long, what stands there is over: owners are told within 8 s of its end
 BLIND_MS = 3000.0  # nothing is offered by a list that may hide drains, so long: then by the list as it was
+GOLDEN = (math.sqrt(5) - 1) / 2  # steps of this share of a ring lie evenly on it, however many are taken
 PROBE_MS = 600.0  # for the answer: a probe shares the line of offers
 PROBES_PRICE = 0.004  # of all that is won, at most, where losses are told anyway
 SILENT_AWAITED = 2  # probes in a row unanswered: what waits there may go elsewhere; a lost word is one
@@ -59,6 +60,10 @@
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
         self._tightness = max(LEAST_TIGHTNESS, smallest / settings.siblings**0.75)
         self._lowest_priority = min(cls.priority for cls in settings.classes)
+        # Neighbours in number stand apart in the line for turns: so many by another clock add little to it.
+        least = max(1, round(GOLDEN * settings.siblings))
+        step = next(n for n in range(least, least + settings.siblings) if math.gcd(n, settings.siblings) == 1)
+        self._in_line = settings.me * step % settings.siblings
         self._slot_ms = (settings.rules.cold_window_ms + settings.connect_timeout_ms) / 3
         self._held_up_ms = settings.connect_timeout_ms / 2  # at most, for a connection to a cold machine
         self._now = 0.0
@@ -681,7 +686,7 @@
         if machine.slot != slot:
             first, last = (n * int(self._rules.cold_offers) // 4 for n in (slot, slot + 1))
             turns, rest = divmod(last - first, settings.siblings)
-            mine = (settings.me + machine.id - first) % settings.siblings < rest
+            mine = (self._in_line + machine.id - first) % settings.siblings < rest
             machine.slot, machine.turns = slot, turns + mine
         return machine.turns > 0
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -126,7 +126,7 @@
         fleet.spend(me, at)
 
 
-BUDGETS = st.sampled_from([1, 2, 3, 5, 9, 10, 20, 57, 120, 250])
+BUDGETS = st.sampled_from([1, 2, 3, 5, 9, 10, 20, 30, 57, 120, 250])
 PLACERS = st.sampled_from([3, 20, 30, 60])
 
 
@@ -176,6 +176,33 @@
     assert fleet.worst() <= budget
 
 
+@runs(max_examples=150)
+@given(
+    st.sampled_from([20, 30, 60]),
+    BUDGETS,
+    st.sampled_from([0.1, 0.3, 0.5, 0.7]),
+    st.floats(-12.0, 12.0),
+    st.integers(0, 2**32),
+)
+def test_clocks_that_were_stepped_between_restarts_add_no_more_than_chance(
+    placers: int, budget: int, share: float, slots: float, seed: int
+) -> None:
+    """Placers that restart after a step of the wall clock go by it; the others are slewed, for hours.
+
+    They restart by their numbers. Guards against turns that go by numbers too: one part of the placers then
+    has all turns of some seconds, and the other part has its own by another clock at the same time.
+    """
+    chance = random.Random(seed)
+    fleet = ColdFleet(placers, budget, (machine(chance.getrandbits(48), started_at=BEGIN - 10.0),))
+    first = chance.randrange(placers)
+    for number in range(round(share * placers)):
+        fleet.ahead[(first + number) % placers] = slots * slot_ms()
+    for me in fleet.numbers:
+        fleet.tell(me, BEGIN - 20.0 * slot_ms())
+    play(fleet, instants(24, 12, chance))
+    assert fleet.worst() <= put_down_to_chance(budget)
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("budget", [9, 57])
 @pytest.mark.parametrize("placers", [3, 20, 30, 60])
