Cold machines: a placer that the settings do not count has no turns

A placer whose number is not under `siblings` took, by the remainder (rules.py, _fits_cold), the turns of another one: a fleet that grew to twice the told number sent twice the budget.

--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -203,6 +203,17 @@
     assert fleet.worst() <= put_down_to_chance(budget)
 
 
+@pytest.mark.parametrize("budget", [5, 57, 250])
+@pytest.mark.parametrize("beyond", [1, 10, 20])
+def test_placers_that_the_settings_do_not_count_have_no_turns_of_others(beyond: int, budget: int) -> None:
+    """Guards against a fleet that grew while its settings did not: number 20 of 20 took number 0's turns."""
+    fleet = ColdFleet(20, budget, numbers=range(20 + beyond))
+    for me in fleet.numbers:
+        fleet.tell(me, BEGIN)
+    play(fleet, instants(9, 5))
+    assert fleet.worst() <= budget
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("budget", [9, 57])
 @pytest.mark.parametrize("placers", [3, 20, 30, 60])
