--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -679,7 +679,7 @@
         An offer of any size is one turn: the told number is of offers of any class. It is given out over four
         slots of a third of a window, lengthened by a connect time-out: half of that for offers that are held
         up, half for clocks that differ. So no window sees more. A machine that is listed anew has none in its
-        slot: a former life, of this placer or of the entry, may have had them. Nor has a `me` past `siblings`.
+        slot: a former life, of this placer or of the entry, may have had them. Nor has `me` past `siblings`.
         """
         settings = self._settings
         slot = int(self._now // self._slot_ms)
