--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -38,9 +38,8 @@
 ASIDE_SHARE = 0.5  # of the fleet's cores set aside at most: more is load or this placer's own trouble
 QUIET_MS = 1000.0  # nothing heard for so long from a machine that owes an answer: it is asked
 LOST_MS = 7000.0  # silent for so long, what stands there is over: owners are told within 8 s of its end
-BLIND_MS = (
-    3000.0  # nothing is offered by a list that may hide drains, for so long: then by the list as it was
-)
+BLIND_MS = 3000.0  # nothing is offered by a list that may hide drains, so long: then by the list as it was
+GOLDEN = (math.sqrt(5) - 1) / 2  # steps of this share of a ring lie evenly on it, however many are taken
 PROBE_MS = 600.0  # for the answer: a probe shares the line of offers
 PROBES_PRICE = 0.004  # of all that is won, at most, where losses are told anyway
 SILENT_AWAITED = 2  # probes in a row unanswered: what waits there may go elsewhere; a lost word is one
@@ -61,8 +60,14 @@
         smallest = min(settings.kind_cores) * settings.accepts_cores / settings.mean_cores
         self._tightness = max(LEAST_TIGHTNESS, smallest / settings.siblings**0.75)
         self._lowest_priority = min(cls.priority for cls in settings.classes)
+        # Neighbours in number stand apart in the line for turns: so many by another clock add little to it.
+        least = max(1, round(GOLDEN * settings.siblings))
+        step = next(n for n in range(least, least + settings.siblings) if math.gcd(n, settings.siblings) == 1)
+        self._in_line = settings.me * step % settings.siblings
+        self._slot_ms = (settings.rules.cold_window_ms + settings.connect_timeout_ms) / 3
+        self._held_up_ms = settings.connect_timeout_ms / 2  # at most, for a connection to a cold machine
         self._now = 0.0
-        self._born_at: float | None = None
+        self._began = False
         self._out: list[api.Action] = []
         self._machines: dict[api.MachineId, Machine] = {}
         self._ready: list[Machine] = []  # those that the list names ready, and their cores
@@ -88,8 +93,8 @@
         self._now = max(now, self._now)
         while self._lapses and self._lapses[0][0] <= self._now - VIEW_LAG_MS:
             self._lapses.popleft()[1].lapse(self._now)
-        if self._born_at is None:
-            self._born_at = self._now
+        if not self._began:
+            self._began = True
             if self._settings.list_on_request:
                 self._ask_list()
         match event:
@@ -180,10 +185,7 @@
         return False
 
     def _learn_unseen(self, refused: bool) -> None:
-        """The share of room that others take within the view's lag, whatever the cause, shows in refusals.
-
-        It settles where REFUSED_SHARE of the offers are refused.
-        """
+        """Room that others take within the view's lag shows in refusals: settles where REFUSED_SHARE are."""
         settings = self._settings
         step = settings.mean_cores / (min(settings.kind_cores) * settings.accepts_cores)
         self._unseen += step if refused else -step * REFUSED_SHARE / (1 - REFUSED_SHARE)
@@ -362,6 +364,8 @@
         self._offers += 1
         self._note_change(machine, task.cores, task.memory)
         within = self._window_left(task, task.maybe_ran)
+        if self._now < machine.cold_until:
+            within = min(within, self._held_up_ms)
         self._out.append(api.Bind(task.id, machine.id, self._time_out(task), within))
 
     def _window_left(self, task: Task, attempts: list[Attempt]) -> float:
@@ -446,13 +450,11 @@
             self._try(task)
 
     def _take_refusal(self, task: Task, machine: Machine, reason: api.Reason) -> None:
-        """The view overstates the room: nothing as large goes there until it could catch up.
-
-        Too many offers waiting shut it for all sizes; a refusal without a reason tells of the class.
-        """
-        if reason is api.Reason.UNTOLD:
+        """The view overstates the room: nothing as large goes there until it could catch up."""
+        if reason is api.Reason.UNTOLD:  # it tells of the class
             self._strike(machine, task.cls.name, STRIKES, "turned away")
         elif reason is not api.Reason.NOT_HERE:
+            # Too many offers waiting shut it for all sizes.
             least = {api.Reason.NO_CORES: task.cores, api.Reason.NO_MEMORY: task.memory}.get(reason, 0.0)
             if least:
                 self._learn_unseen(True)
@@ -549,7 +551,11 @@
             return  # owners that send what no machine can use would set the whole fleet aside
         if event.end in (api.End.TIMED_OUT, api.End.ERROR):
             self._strike(machine, attempt.task.cls.name, 1.0, event.end.value)
-        elif event.end is api.End.UNREACHABLE:
+        elif event.end is api.End.UNREACHABLE or (
+            event.end is api.End.NOT_SENT  # a cold one's connection did not come up in its shorter time
+            and attempt.sent_at < machine.cold_until
+            and self._now >= attempt.sent_at + self._held_up_ms
+        ):
             self._strike(machine, WHOLE, 1.0, event.end.value)
         elif event.end is api.End.RESET and event.reason in (api.Reason.UNTOLD, api.Reason.SENT_AWAY):
             self._strike(machine, WHOLE, STRIKES if attempt.placed else 1.0, event.end.value)
@@ -586,13 +592,10 @@
             self._set_look()
 
     def _ask_at(self, machine: Machine) -> float:
-        """When a machine is asked whether it lives: soon where it owes an answer.
-
-        Where tasks only stand there it is as late as their owners allow: nearly all machines hold some of a
-        placer's, and sixteen placers that asked each quiet one by the second asked more than they offered.
-        """
+        """When a machine is asked whether it lives: soon where it owes an answer, else as owners allow."""
         if machine.unheard:
             return machine.heard_at + LOST_MS - PROBE_MS
+        # Nearly all hold tasks of each placer: sixteen that asked by the second asked more than they offered.
         late = machine.heard_at + LOST_MS - SILENT_LOST * PROBE_MS - QUIET_MS / 2
         owed = [a.sent_at for a in machine.open.values() if not a.placed] if machine.awaited else []
         return min(late, max(machine.heard_at, min(owed)) + QUIET_MS) if owed else late
@@ -673,19 +676,18 @@
     def _fits_cold(self, machine: Machine) -> bool:
         """Offers to a cold machine, refused ones too, go by turns that the common clock gives out to placers.
 
-        The told number is given out over four slots of a third of a window, so no window sees more. It is
-        longer by a connect time-out, which may hold offers up. A former life may have spent the first slot.
+        An offer of any size is one turn: the told number is of offers of any class. It is given out over four
+        slots of a third of a window, lengthened by a connect time-out: half of that for offers that are held
+        up, half for clocks that differ. So no window sees more. A machine that is listed anew has none in its
+        slot: a former life, of this placer or of the entry, may have had them. Nor has `me` past `siblings`.
         """
-        rules, settings = self._rules, self._settings
-        slot_ms = (rules.cold_window_ms + settings.connect_timeout_ms) / 3
-        slot = int(self._now // slot_ms)
+        settings = self._settings
+        slot = int(self._now // self._slot_ms)
         if machine.slot != slot:
-            first, last = (n * int(rules.cold_offers) // 4 for n in (slot, slot + 1))
+            first, last = (n * int(self._rules.cold_offers) // 4 for n in (slot, slot + 1))
             turns, rest = divmod(last - first, settings.siblings)
-            mine = (settings.me + machine.id - first) % settings.siblings < rest
-            machine.slot, machine.turns = slot, turns + mine
-            if self._born_at is not None and slot == int(self._born_at // slot_ms):
-                machine.turns = 0
+            mine = (self._in_line + machine.id - first) % settings.siblings < rest
+            machine.slot, machine.turns = slot, turns + mine if settings.me < settings.siblings else 0
         return machine.turns > 0
 
     # ---- Discovery ------------------------------------------------------------------------------------
@@ -735,6 +737,7 @@
         if machine is None:
             cores, memory = self._settings.kind_cores[entry.kind], self._settings.kind_memory[entry.kind]
             machine = self._machines[entry.id] = Machine(entry.id, entry, cores, memory, VIEW_LAG_MS)
+            machine.slot = int(self._now // self._slot_ms)
             machine.show(entry)
             self._count_ready()
             self._adopt(machine)
