The rig tells how each life of a placer's process ended

A full test run found figures["died"] == ['p5'] and nothing that told of what: processes.py kept neither exit code nor signal, and a log that nobody showed. Each life's end is now kept (16 a placer): exit code or signal, how long it lasted, whether the rig had told it to end, and the last 40 lines (16 KiB at most) of that life's log. A cold start's figures give them for those that died, the tests show them, and a list service that could not listen is no longer passed over in silence.

Seen to fail before: LifeEnd did not exist; with a placer whose limits are refused the figures said "p1" alone.

--- a/kelpfront/lab/fleet/coldstart.py
+++ b/kelpfront/lab/fleet/coldstart.py
@@ -121,6 +121,8 @@
             waits.append(asyncio.create_task(self._until_told()))
             await asyncio.wait(waits, timeout=self.shape.longest_s)
             died = [placer.name for placer in self.placers if not placer.alive]
+            if serving.done():
+                serving.result()  # a service that could not listen is no result of the run
         finally:
             for task in [*waits, *([serving] if serving else [])]:
                 task.cancel()
@@ -137,6 +139,12 @@
             "rate": shape.rate,
             "up_after_s": shape.up_after_s,
             "died": died,
+            "deaths": [
+                str(end)
+                for placer in self.placers
+                for end in placer.ends
+                if placer.name in died and not end.wanted
+            ],
             "ready_s": _marks(self.ready, shape.placers),
             "told_s": _marks(told, shape.placers),
             "least_told_s": round(shape.up_after_s + shape.placers / shape.rate, 1) if shape.rate else 0.0,
--- a/kelpfront/lab/fleet/processes.py
+++ b/kelpfront/lab/fleet/processes.py
@@ -10,16 +10,64 @@
 import resource
 import signal
 import sys
+import time
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 PR_SET_PDEATHSIG = 1
 END_S = 10.0
+ENDS_KEPT = 16  # of one placer's lives
+LAST_LINES, LAST_BYTES = 40, 16_384  # of a life's log
+
+
+@dataclass(frozen=True, slots=True)
+class LifeEnd:
+    """How one life of a process ended. `wanted`: the rig had told it to, or killed it."""
+
+    name: str
+    life: int  # from 1
+    lasted_s: float
+    exit_code: int | None  # None: a signal ended it
+    signal: str  # its name, empty where there was none
+    wanted: bool
+    last_lines: tuple[str, ...]
+
+    def __str__(self) -> str:
+        how = self.signal or f"exit code {self.exit_code}"
+        head = f"{self.name}, life {self.life}: {how} after {self.lasted_s:.1f} s"
+        return "\n    ".join([head, *self.last_lines])
+
+
+def signal_name(code: int) -> str:
+    """Of the signal that ended a process with the return code `code`; empty where none did."""
+    if code >= 0:
+        return ""
+    try:
+        return signal.Signals(-code).name
+    except ValueError:  # of those for real time
+        return f"signal {-code}"
+
+
+def last_lines(path: Path, start: int) -> tuple[str, ...]:
+    """The last lines of a file from byte `start` on, LAST_LINES and LAST_BYTES at most."""
+    try:
+        with path.open("rb") as file:
+            size = file.seek(0, os.SEEK_END)
+            file.seek(max(start, size - LAST_BYTES))
+            data = file.read(LAST_BYTES)
+    except OSError:
+        return ()
+    return tuple(data.decode(errors="replace").splitlines()[-LAST_LINES:])
 
 
 def bound_to_parent(files: int, memory_mb: int) -> Callable[[], None]:
-    """What a child does before it becomes the program: it dies with us, and keeps to its limits."""
+    """What a child does before it becomes the program: it dies with us, and keeps to its limits.
+
+    The system binds its death to the thread that started it: that of the rig's loop.
+    """
     libc = ctypes.CDLL(None, use_errno=True)
     parent = os.getpid()
 
@@ -46,6 +94,9 @@
         self._path, self.log_path = work / f"{name}.json", work / f"{name}.log"
         self._files, self._memory_mb = files, memory_mb
         self._process: asyncio.subprocess.Process | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self._lives, self._told_to_end = 0, False
+        self.ends: deque[LifeEnd] = deque(maxlen=ENDS_KEPT)
 
     @property
     def pid(self) -> int:
@@ -63,6 +114,7 @@
     async def start(self) -> None:
         self.write_config()
         with self.log_path.open("ab") as log:
+            log_start = log.seek(0, os.SEEK_END)
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -73,10 +125,35 @@
                 stderr=log,
                 preexec_fn=bound_to_parent(self._files, self._memory_mb),
             )
+        self._lives, self._told_to_end = self._lives + 1, False
+        self._watch = asyncio.create_task(self._until_end(self._process, log_start))
+
+    async def _until_end(self, process: asyncio.subprocess.Process, log_start: int) -> None:
+        """Notes how this life ends."""
+        life, began = self._lives, time.monotonic()
+        code = await process.wait()
+        self.ends.append(
+            LifeEnd(
+                self.name,
+                life,
+                time.monotonic() - began,
+                code if code >= 0 else None,
+                signal_name(code),
+                self._told_to_end,
+                last_lines(self.log_path, log_start),
+            )
+        )
+
+    async def _ended(self) -> int:
+        """Waits until this life has ended and is noted; its exit code, or the negative of a signal."""
+        assert self._process is not None and self._watch is not None
+        await self._watch
+        return await self._process.wait()
 
     def signal(self, number: signal.Signals) -> None:
         if self.alive:
             assert self._process is not None
+            self._told_to_end |= number in (signal.SIGKILL, signal.SIGTERM)
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
@@ -90,7 +167,7 @@
     async def kill(self) -> None:
         self.signal(signal.SIGKILL)
         if self._process is not None:
-            await self._process.wait()
+            await self._ended()
 
     async def end(self) -> int:
         """SIGTERM, and the exit code; killed where it does not end."""
@@ -99,7 +176,7 @@
         self.signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(END_S):
-                return await self._process.wait()
+                return await asyncio.shield(self._ended())
         except TimeoutError:
             await self.kill()
             return -int(signal.SIGKILL)
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -19,7 +19,7 @@
 
 from kelpfront.lab.fleet.coldstart import ColdStart, Run
 from kelpfront.lab.fleet.lists import ListService
-from kelpfront.lab.fleet.processes import PlacerProcess
+from kelpfront.lab.fleet.processes import LAST_BYTES, PlacerProcess, last_lines
 from kelpfront.lab.fleet.proxy import FaultProxy
 from kelpfront.lab.fleet.settings import config_json, whole_list
 from kelpfront.lab.platform import event, member
@@ -34,7 +34,7 @@
 async def started(tmp_path: Path, **changes: object) -> Run:
     run = Run(ColdStart(placers=PLACERS, **changes), tmp_path)  # type: ignore[arg-type]
     figures = await run.run()
-    assert figures["died"] == []
+    assert figures["died"] == [], "\n".join(figures["deaths"])
     assert figures["ready_s"]["100%"] is not None, figures
     assert figures["told_s"]["100%"] is not None, figures
     return run
@@ -204,6 +204,57 @@
         await service.stop()
 
 
+async def test_the_rig_tells_how_each_life_of_a_process_ended(tmp_path: Path) -> None:
+    """Guards against a placer that died and nobody knew of what."""
+    config = config_json(0, 1, "127.0.0.1:0", "127.0.0.1:1", {"index": 0, "updates": []})
+    placer = PlacerProcess("p0", config, tmp_path)
+    try:
+        await placer.start()
+        await until(lambda: b"coordinator lost" in placer.log_path.read_bytes())
+        os.kill(placer.pid, signal.SIGKILL)  # not by the rig
+        await until(lambda: len(placer.ends) == 1)
+        placer.config = config | {"listen": "nowhere"}
+        await placer.start()
+        await until(lambda: len(placer.ends) == 2)
+        placer.config = config
+        await placer.start()
+        await until(lambda: placer.log_path.read_bytes().count(b"coordinator lost") == 2)
+        assert await placer.end() == 0
+    finally:
+        await placer.kill()
+    killed, misled, told = placer.ends
+    assert (killed.life, killed.exit_code, killed.signal, killed.wanted) == (1, None, "SIGKILL", False)
+    assert "coordinator lost" in killed.last_lines[-1] and not placer.alive
+    assert (misled.life, misled.exit_code, misled.signal, misled.wanted) == (2, 2, "", False)
+    (line,) = misled.last_lines
+    assert "HOST:PORT is wanted" in line and line in str(misled) and "exit code 2" in str(misled)
+    assert (told.life, told.exit_code, told.signal, told.wanted) == (3, 0, "", True)
+
+
+def test_of_a_long_log_the_last_lines_are_kept(tmp_path: Path) -> None:
+    log = tmp_path / "log"
+    log.write_text("of a former life\n" + "".join(f"{number}\n" for number in range(100)))
+    assert last_lines(log, 17) == tuple(str(number) for number in range(60, 100))
+    log.write_text("x" * 1_000_000)
+    assert sum(map(len, last_lines(log, 0))) == LAST_BYTES
+    assert last_lines(tmp_path / "none", 0) == ()
+
+
+async def test_a_cold_start_tells_what_a_placer_died_of(tmp_path: Path) -> None:
+    run = Run(ColdStart(placers=2, rate=0.0, longest_s=5.0), tmp_path)
+    make = run._make
+
+    def with_a_bad_one() -> None:
+        make()
+        run.placers[1].config["limits"] = {"sockets": 1}
+
+    run._make = with_a_bad_one  # type: ignore[method-assign]
+    figures = await run.run()
+    assert figures["died"] == ["p1"]
+    (death,) = figures["deaths"]
+    assert death.startswith("p1, life 1: exit code 2") and "limits: sockets" in death
+
+
 def test_placers_die_with_the_rig(tmp_path: Path) -> None:
     """Guards against processes that are left behind by a rig that was killed."""
     code = (
