The rig's ports come from outside the range that the system gives out of itself

free_port bound port 0, closed it and told the number to placers that bind it up to 7 s later. Measured on one host: of 20,000 pairs of calls 3 gave the same port twice, so that the list service on all addresses and the placers would want one port; an outgoing connection or a listener that asked for any port may take it meanwhile, and then the list service (an outgoing connection's near end) or a placer (a listener on all addresses) gets EADDRINUSE, a placer exit code 2 after 10 s. The system gives both out of ip_local_port_range; the rig now draws from below it (or above), and the service's and the placers' differ.

The test was seen to fail with the former free_port. Whether this is what p5 died of is not known: no log of that run is left.

--- a/kelpfront/lab/fleet/coldstart.py
+++ b/kelpfront/lab/fleet/coldstart.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import socket
 import tempfile
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from typing import Any
 
 from kelpfront.lab.fleet.lists import ListService
+from kelpfront.lab.fleet.ports import free_port
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.settings import config_json, whole_list
 from kelpfront.lab.platform import Peer, line
@@ -44,33 +44,29 @@
     return f"127.{net}.{number >> 8}.{number & 255}"
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Run:
     """One cold start in one folder."""
 
     def __init__(self, shape: ColdStart, work: Path, say: Callable[[str], None] = lambda text: None) -> None:
         self.shape, self._work, self._say = shape, work, say
         self.service = ListService(rate=shape.rate, updates=[whole_list(1, shape.machines)])
-        self.service.port = free_port()
+        self.service.port = port = free_port()
+        while port == self.service.port:
+            port = free_port()
+        self._port = port  # the same on each placer's own address
         self.placers: list[PlacerProcess] = []
         self._began = 0.0
         self.ready: dict[str, float] = {}
 
     def _make(self) -> None:
         shape = self.shape
-        port = free_port()  # the same on each placer's own address
         old = {"index": 1, "updates": [whole_list(1, shape.machines)]}
         for number in range(shape.placers):
             listed = number < shape.with_file * shape.placers
             config = config_json(
                 number,
                 shape.placers,
-                f"{address_of(10, number)}:{port}",
+                f"{address_of(10, number)}:{self._port}",
                 f"{address_of(20, number)}:{self.service.port}",
                 old if listed else {"index": 0, "updates": []},
             )
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -17,6 +18,7 @@
 from hypothesis import strategies as st
 from waiting import until
 
+from kelpfront.lab.fleet import ports
 from kelpfront.lab.fleet.coldstart import ColdStart, Run
 from kelpfront.lab.fleet.lists import ListService
 from kelpfront.lab.fleet.processes import LAST_BYTES, PlacerProcess, last_lines
@@ -255,6 +257,19 @@
     assert death.startswith("p1, life 1: exit code 2") and "limits: sockets" in death
 
 
+def test_ports_that_are_bound_later_are_given_to_nobody_meanwhile(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a listener that finds its port taken: by one that asked for any, or by a connection."""
+    low, high = (int(number) for number in ports.RANGE.read_text().split())
+    found = {ports.free_port() for _ in range(20)}
+    assert not any(low <= port <= high for port in found)
+    held, other = list(found)[:2]
+    draws = iter((held, other))
+    monkeypatch.setattr(random, "choice", lambda ports: next(draws))
+    with socket.socket() as taken:  # on one address alone; the list service wants all
+        taken.bind(("127.0.0.9", held))
+        assert ports.free_port() == other
+
+
 def test_placers_die_with_the_rig(tmp_path: Path) -> None:
     """Guards against processes that are left behind by a rig that was killed."""
     code = (
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -14,6 +13,7 @@
 from waiting import until
 
 from kelpfront.lab.fleet.lists import ListService
+from kelpfront.lab.fleet.ports import free_port
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.settings import config_json, whole_list
 from kelpfront.lab.platform import Json, Machine, Peer, accepts, event, line, member, offer
@@ -22,12 +22,6 @@
 TOLD_S = 1.5  # three times what rule 3 gives: the host of the tests may be busy
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @pytest.fixture
 async def service() -> AsyncIterator[ListService]:
     its = ListService()
