An older list takes back neither drains nor ends, and a file's drain is read at start

Read in fleet.py: where an answer's number was below ours the whole list was asked for, and taken as it came, though a service that is behind knows nothing yet of the last drains. After a reload whose known told of a drain the next answer of the same coordinator, one event behind, made the machine ready again: 68 offers to it later than 1.5 s after the SIGHUP, by three processes under load. An older list is still taken and followed from its own number on; Ready over a drain of the same start, and machines that are gone, are left out until numbers pass the highest that was told. service.py looked again at start whether the file had another address, and not whether it knew of more: a SIGHUP with a drain before the handlers stood was lost at a silent coordinator.

--- a/kelpfront/platform/fleet.py
+++ b/kelpfront/platform/fleet.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from kelpfront import interface as api
 from kelpfront.platform.calls import Machine
 from kelpfront.platform.directory import Entry, Event
 
+GONE_KEPT = 1_024  # machines that are gone, so that an older list does not bring them back
+
 
 @dataclass(slots=True)
 class Change:
@@ -27,6 +29,8 @@
         self.machines: dict[api.MachineId, Machine] = {}
         self.index = 0
         self.missed = False  # an event was not told, and would never be asked for again
+        self._highest = 0  # number of all that were taken, also before numbers went back
+        self._gone: dict[api.MachineId, float] = {}  # and when each had started
 
     @property
     def follow(self) -> int:
@@ -37,13 +41,15 @@
         """An answer: the number that it says is the last, and its events; those taken before are passed over.
 
         Numbers follow one another. Where some lack, or go back, what was told is taken, and the whole list is
-        wanted: a drain may have been among them.
+        wanted: a drain may have been among them. A service that is behind has an older one; its events are
+        taken from there on, but what it does not know yet of drains and ends is not taken back.
         """
         if self.missed and events and events[0].whole:
             self.missed = False
             whole = net(events)
             yield self._change(whole)
             self.index = max(index, whole.index)
+            self._highest = max(self._highest, self.index)
             return
         if index < self.index:
             self.missed = True
@@ -57,8 +63,11 @@
                 yield self._change(event)
         self.missed |= index > self.index
         self.index = max(self.index, index)
+        self._highest = max(self._highest, self.index)
 
     def _change(self, event: Event) -> Change:
+        if event.index < self._highest:
+            event = self._without_takebacks(event)
         change = Change(event)
         if event.whole:
             named = {entry.machine.id for entry in event.entries}
@@ -73,12 +82,32 @@
             elif view.started_at > machine.started_at:
                 change.restarted.append(machine)
             machine.state, machine.started_at = view.state, view.started_at
+            self._gone.pop(view.id, None)
             if entry.address.host:
                 machine.address = entry.address
             if view.state is api.MachineState.GONE:
                 change.gone.append(machine)
+        for machine in change.gone:
+            self._gone[machine.id] = machine.started_at
+            if len(self._gone) > GONE_KEPT:
+                del self._gone[next(iter(self._gone))]
         return change
 
+    def _without_takebacks(self, event: Event) -> Event:
+        """An older event without what later ones have told of the same lives of its machines."""
+        entries = []
+        for entry in event.entries:
+            view = entry.machine
+            if self._gone.get(view.id, -1.0) >= view.started_at:
+                continue
+            known = self.machines.get(view.id)
+            if known is not None and known.started_at >= view.started_at:
+                drains = api.MachineState.READY, api.MachineState.DRAINING
+                if (view.state, known.state) == drains:
+                    entry = replace(entry, machine=replace(view, state=known.state))
+            entries.append(entry)
+        return replace(event, entries=tuple(entries))
+
 
 def net(events: Sequence[Event]) -> Event:
     """What a whole list and the changes after it come to: one whole list, without what is gone."""
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -229,11 +229,12 @@
         self._follower.move(config.coordinator)
 
     def _changed(self) -> bool:
-        """Whether the file names another coordinator than when it was read."""
+        """Whether the file names another coordinator than when it was read, or knows of other events."""
         try:
-            return read_config(self._path).coordinator != self._config.coordinator
+            new = read_config(self._path)
         except ConfigError:
             return False
+        return (new.coordinator, new.known) != (self._config.coordinator, self._config.known)
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/test_platform_crossings_late.py
@@ -0,0 +1,365 @@
+"""What comes long after the start: whole lists, reloads with drains, silences, and days without work.
+
+docs/design/platform.md has the table of these crossings.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import platforms
+import pytest
+from platforms import Stage, ops
+from test_platform_core import NOW
+from test_platform_core import Stage as CoreStage
+from test_platform_fleet import TOLD_S, asks_on, ready
+from test_platform_list import started, take
+from waiting import until
+
+from kelpfront.interface import MachineState
+from kelpfront.lab.fleet.lists import ListService
+from kelpfront.lab.fleet.ports import free_port
+from kelpfront.lab.fleet.processes import PlacerProcess
+from kelpfront.lab.fleet.settings import config_json
+from kelpfront.lab.platform import CALL, Coordinator, Json, Machine, Peer, accepts, event, line, member, offer
+from kelpfront.platform.intents import Listen, Offer, Test
+from kelpfront.platform.messages import machine_number
+
+SECOND, THIRD = "00000000000000a2", "00000000000000a3"
+LATER_S = 0.5  # for what must not come
+HOUR_MS = 3_600_000.0
+M1, M2, M3 = (machine_number(f"m-{number}") for number in (1, 2, 3))
+
+
+@pytest.fixture
+async def stage(tmp_path: Path) -> AsyncIterator[Stage]:
+    made = Stage(tmp_path)
+    yield made
+    await made.stop()
+
+
+# ---- Whole lists in mid-life ------------------------------------------------------------------------------
+
+
+async def standing(stage: Stage, *machines: Machine) -> dict[str, tuple[Peer, str]]:
+    """A task on each of the machines, which are ready one after another: owner and call by machine."""
+    placer = await stage.start(*machines)
+    found: dict[str, tuple[Peer, str]] = {}
+    for number in range(1, 100):
+        owner, call = await placer.owner(), f"{number:016x}"
+        owner.say(offer(call, cls=("easy", "keyed", "once")[number % 3]))
+        (accepted,) = await ops(owner, "accept")
+        found.setdefault(accepted["desc"].removeprefix("at "), (owner, call))
+        if len(found) == len(machines):
+            return found
+    raise AssertionError(f"only {', '.join(found)} were chosen")
+
+
+async def test_a_whole_list_in_mid_life_ends_what_stood_on_machines_that_it_lacks(stage: Stage) -> None:
+    """One is as it was, one has restarted, one drains, one is not named any more, one is new."""
+    machines = [Machine(f"m-{number}") for number in range(1, 5)]
+    stands = await standing(stage, *machines)
+    placer, addresses = stage.running, {m.name: m.address for m in machines}
+    opened = machines[0].opened
+    whole = event(
+        2,
+        member("m-1", addresses["m-1"]),
+        member("m-2", addresses["m-2"], up_since_ms=placer.now()),
+        member("m-3", addresses["m-3"], "Terminating"),
+        member("m-5", addresses["m-4"]),  # at the address of the one that is gone
+        whole=True,
+    )
+    stage.coordinator.events.append(whole)
+    for name in ("m-2", "m-4"):
+        owner, call = stands[name]
+        while (message := await owner.read()) is not None and message["call"] != call:
+            pass
+        assert message is not None and (message["op"], message["why"]) == ("end", 41)
+    assert placer.core.fleet.index == 2 and set(placer.core.machines) == {
+        machine_number(name) for name in ("m-1", "m-2", "m-3", "m-5")
+    }
+    for name in ("m-1", "m-3"):  # these run on, and their ends are told
+        owner, call = stands[name]
+        next(m for m in machines if m.name == name).peers[0].say(line("end", call, why=16))
+        (ended,) = await ops(owner, "end")
+        assert (ended["call"], ended["why"]) == (call, 16)
+    assert machines[0].opened == opened  # its connections were left alone
+    drained = len(machines[2].offers())
+    for number in range(0xB1, 0xC1):
+        owner = await placer.owner()
+        owner.say(offer(f"{number:016x}"))
+        await ops(owner, "accept")
+    assert len(machines[2].offers()) == drained
+
+
+async def test_the_same_whole_list_again_changes_nothing(stage: Stage) -> None:
+    machines = [Machine("m-1"), Machine("m-2")]
+    stands = await standing(stage, *machines)
+    opened = [machine.opened for machine in machines]
+    members = [member(m.name, m.address) for m in machines]
+    stage.coordinator.events += [event(index, *members, whole=True) for index in (2, 3)]
+    await until(lambda: stage.running.core.fleet.index == 3)
+    await asyncio.sleep(LATER_S)
+    assert [machine.opened for machine in machines] == opened
+    assert stage.running.core.counts["tasks lost"] == 0
+    for machine in machines:
+        owner, call = stands[machine.name]
+        machine.peers[0].say(line("end", call, why=16))
+        (ended,) = await ops(owner, "end")
+        assert ended["why"] == 16
+
+
+@pytest.mark.parametrize(("cls", "answer"), [("easy", "accept"), ("once", "end")])
+async def test_a_whole_list_without_the_machine_of_an_offer_that_is_on_its_way(
+    stage: Stage, cls: str, answer: str
+) -> None:
+    """It may have run there: what may be repeated goes elsewhere, the rest fails, and both only once."""
+    held: list[Peer] = []
+
+    async def holds(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] == "offer":
+            held.append(peer)
+
+    machine, other = Machine("m-1", holds), Machine("m-2")
+    placer = await stage.start(machine)
+    await other.start()
+    stage.machines["m-2"] = other
+    owner = await placer.owner()
+    owner.say(offer(cls=cls))
+    await until(lambda: held)
+    stage.coordinator.events.append(event(2, member("m-2", other.address), whole=True))
+    (told,) = await ops(owner, answer)
+    assert told.get("why") == (None if cls == "easy" else 41)
+    held[0].say(line("accept", CALL, desc="late"))
+    owner.say(line("test", "00000000000000f0", why=0))
+    await ops(owner, "tested")  # and nothing before it
+    assert len(other.offers()) == (cls == "easy") and len(machine.offers()) == 1
+
+
+def test_a_list_that_is_older_takes_back_neither_drains_nor_ends() -> None:
+    """Guards against offers to a machine that drains, as a service that is behind tells of it as ready."""
+    fleet = started()
+    take(fleet, 3, event(2, member("m-1", phase="Terminating")), event(3, member("m-2", phase="Gone")))
+    take(fleet, 1)
+    assert fleet.follow == 0  # numbers went back: the whole list is asked for
+    take(fleet, 1, event(1, member("m-1"), member("m-2"), whole=True))
+    assert {ident: m.state for ident, m in fleet.machines.items()} == {M1: MachineState.DRAINING}
+    assert fleet.follow == 1  # what comes later is asked for from there on
+    take(fleet, 2, event(2, member("m-1"), member("m-2"), member("m-3")))  # still behind
+    assert {ident: m.state for ident, m in fleet.machines.items()} == {
+        M1: MachineState.DRAINING,
+        M3: MachineState.READY,
+    }
+    take(fleet, 4, event(3), event(4, member("m-1"), member("m-2")))  # it has caught up
+    assert {m.state for m in fleet.machines.values()} == {MachineState.READY} and len(fleet.machines) == 3
+
+
+def test_a_younger_life_of_a_machine_is_taken_from_an_older_list() -> None:
+    fleet = started()
+    take(fleet, 3, event(2, member("m-1", phase="Terminating")), event(3, member("m-2", phase="Gone")))
+    take(fleet, 1)
+    young = [member("m-1", up_since_ms=5.0), member("m-2", up_since_ms=5.0)]
+    take(fleet, 1, event(1, *young, whole=True))
+    assert {ident: m.state for ident, m in fleet.machines.items()} == dict.fromkeys(
+        (M1, M2), MachineState.READY
+    )
+
+
+# ---- Reloads with drains ----------------------------------------------------------------------------------
+
+
+def reload_with(stage: Stage, coordinator: str, *updates: Json) -> None:
+    """SIGHUP with a file that knows of more."""
+    raw = json.loads((stage.path / "config.json").read_text())
+    raw["coordinator"] = coordinator
+    raw["known"]["updates"] += updates
+    raw["known"]["index"] = updates[-1]["index"]
+    (stage.path / "config.json").write_text(json.dumps(raw))
+    os.kill(os.getpid(), signal.SIGHUP)
+
+
+@pytest.mark.parametrize("moved", [True, False], ids=["moved", "the same address"])
+@pytest.mark.parametrize("told", ["nothing", "an older list", "more at once"])
+async def test_a_drain_that_a_reload_brought_stands_whatever_the_coordinator_says(
+    stage: Stage, moved: bool, told: str
+) -> None:
+    """`known` tells of a drain: who is asked then is behind, or has news at the same time."""
+    drained, other = Machine("m-1"), Machine("m-2")
+    placer = await stage.start(drained, other)
+    await until(lambda: len(stage.coordinator.asked) > 1)
+    new = Coordinator()
+    await new.start()
+    whole = event(1, *(member(m.name, m.address) for m in (drained, other)), whole=True)
+    drain = event(2, member("m-1", drained.address, "Terminating"))
+    speaks = new if moved else stage.coordinator
+    if told == "an older list":
+        speaks.events.append(whole)
+    elif told == "more at once":
+        speaks.events += [whole, drain, event(3, member("m-3", phase="Terminating"))]
+    reload_with(stage, speaks.address, drain)
+    await until(lambda: placer.core.fleet.index >= 2)
+    asked = len(speaks.asked)
+    await until(lambda: len(speaks.asked) >= asked + 3)
+    for number in range(0xB1, 0xC1):
+        owner = await placer.owner()
+        owner.say(offer(f"{number:016x}", cls=("easy", "keyed", "once")[number % 3]))
+        (accepted,) = await ops(owner, "accept")
+        assert accepted["desc"] == "at m-2"
+    assert drained.offers() == []
+    await new.stop()
+
+
+async def test_a_drain_in_a_file_that_came_while_the_placer_started_is_taken(stage: Stage) -> None:
+    """Guards against a reload that was not listened for yet, at the same coordinator, which is silent."""
+    await stage.coordinator.start()
+    stage.coordinator.mute = True
+    raw = platforms.raw_config(member("m-1"), coordinator=stage.coordinator.address)
+    placer = stage.placer = platforms.Placer(stage.path / "config.json", raw)
+    drain = event(2, member("m-1", phase="Terminating"))
+    known = {"index": 2, "updates": [*raw["known"]["updates"], drain]}
+    (stage.path / "config.json").write_text(json.dumps(raw | {"known": known}))
+    placer.task = asyncio.create_task(placer.service.run())
+    await until(lambda: placer.core.fleet.index == 2)
+    assert placer.core.machines[M1].state is MachineState.DRAINING
+
+
+async def test_reloads_with_a_drain_of_many_under_load_and_a_service_that_is_behind(tmp_path: Path) -> None:
+    """Three processes. The service still tells of the drained machine as ready, until it has caught up."""
+    at: dict[str, list[float]] = {"m-1": [], "m-2": []}
+
+    async def script(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] == "offer":
+            at[machine.name].append(time.monotonic())
+        await accepts(machine, peer, message)
+        if message["op"] == "offer":  # short lives: room is not what is tested
+            asyncio.get_running_loop().call_later(0.1, peer.say, line("end", message["call"], why=16))
+
+    machines = [Machine(name, script) for name in at]
+    for machine in machines:
+        await machine.start()
+    whole = event(1, *(member(m.name, m.address) for m in machines), whole=True)
+    drain = event(2, member("m-1", machines[0].address, "Terminating"))
+    service = ListService(updates=[whole])
+    await service.start()
+    placers = []
+    for number in range(3):
+        addresses = f"127.0.0.1:{free_port()}", f"127.0.0.1:{service.port}"
+        config = config_json(number, 3, *addresses, {"index": 1, "updates": [whole]})
+        placers.append(PlacerProcess(f"p{number}", config, tmp_path))
+    stop, numbers, owners = asyncio.Event(), [0], []
+    try:
+        for placer in placers:
+            await placer.start()
+        for placer in placers:
+            (await ready(placer)).cut()
+        owners = [asyncio.create_task(asks_on(placer, numbers, stop)) for placer in placers]
+        await until(lambda: all(len(times) > 5 for times in at.values()))
+        for placer in placers:
+            placer.config["known"] = {"index": 2, "updates": [whole, drain]}
+            placer.write_config()
+            placer.signal(signal.SIGHUP)
+        told = time.monotonic()
+        await until(lambda: sum(when > told + TOLD_S for when in at["m-2"]) > 30)
+        service.tell(drain)
+        answers = service.count("answer")
+        await until(lambda: service.count("answer") > answers + 6)
+        assert [when - told for when in at["m-1"] if when > told + TOLD_S] == []
+        assert all(placer.alive for placer in placers)
+    finally:
+        stop.set()
+        for owner in owners:
+            owner.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*owners, return_exceptions=True)
+        for placer in placers:
+            await placer.kill()
+        await service.stop()
+        for machine in machines:
+            machine.die()
+
+
+# ---- Late in a day ----------------------------------------------------------------------------------------
+
+
+class Day(CoreStage):
+    """A core in virtual time, whose machines answer tests unless they are in `silent`."""
+
+    def __init__(self, *members: Json) -> None:
+        super().__init__(*members)
+        self.silent: set[int] = set()
+        self._answered = 0
+
+    def goes_on(self, ms: float, list_speaks: bool = True, step: float = 100.0) -> None:
+        until = self.now + ms
+        while self.now < until:
+            self.later(min(step, until - self.now))
+            for test in self.of(Test)[self._answered :]:
+                self._answered += 1
+                if test.machine not in self.silent:
+                    self.machine(test.machine, "tested", test.call, why=1)
+            if list_speaks and int(self.now / step) % 10 == 0:
+                self.events({"index": self.core.fleet.index, "updates": []})
+
+    @property
+    def ops(self) -> list[str]:
+        return [message["op"] for _, message in self.told]
+
+
+@pytest.mark.parametrize("cls", ["easy", "keyed", "once"])
+def test_a_machine_that_falls_silent_an_hour_after_its_task_began_is_given_up_in_time(cls: str) -> None:
+    stage = Day(member("m-1"), member("m-2"))
+    ident = stage.placed(cls=cls)
+    stage.goes_on(HOUR_MS)
+    assert stage.ops == ["accept"]
+    stage.silent.add(ident)
+    stage.goes_on(1_900.0)  # its last word may be 5 s old
+    assert stage.ops == ["accept"]
+    stage.goes_on(6_000.0)
+    assert stage.ops == ["accept", "end"] and not stage.core.calls
+    stage.silent.clear()  # and what it says when it is back is no second end
+    stage.machine(ident, "end", why=16)
+    stage.goes_on(60_000.0)
+    assert stage.ops == ["accept", "end"]
+
+
+def test_a_list_that_falls_silent_after_an_hour_holds_offers_back_and_its_drain_is_kept() -> None:
+    stage = Day(member("m-1"))
+    machine = stage.placed()
+    stage.goes_on(HOUR_MS)
+    stage.goes_on(6_000.0, list_speaks=False)
+    stage.owner(offer(SECOND))
+    stage.written(SECOND)
+    stage.machine(machine, "accept", SECOND, desc="given")
+    stage.goes_on(1_500.0, list_speaks=False)
+    stage.owner(offer(THIRD, left="20000"))
+    stage.goes_on(1_000.0, list_speaks=False)
+    assert not [intent for intent in stage.of(Offer) if intent.call == THIRD]
+    stage.events({"index": 2, "updates": [event(2, member("m-1", phase="Terminating"))]})
+    stage.goes_on(60_000.0)
+    assert not [intent for intent in stage.of(Offer) if intent.call == THIRD]
+    assert stage.ops == ["accept", "accept", "end"]  # the third was refused; what stands runs on
+    stage.machine(machine, "end", why=16)
+    assert stage.ops[-1] == "end" and stage.told[-1][1]["call"] == CALL
+
+
+def test_a_placer_without_work_for_half_a_day_has_not_grown_and_serves() -> None:
+    """Idle: no request, no news but that there is none. Then one comes, and one whose machine is long up."""
+    stage = Day(*(member(f"m-{number}") for number in range(40)))
+    stage.goes_on(60_000.0, step=1_000.0)
+    timers, logs = len(stage.core.timers._heap), len(stage.core.logs)
+    stage.goes_on(12 * HOUR_MS, step=1_000.0)
+    core = stage.core
+    assert stage.now >= NOW + 12 * HOUR_MS
+    assert len(core.timers._heap) <= timers and len(core.logs) == logs and not core.out
+    assert not core.calls and not core.probes._out and not core.freshness.silent
+    assert not stage.of(Offer) and not stage.of(Listen)
+    stage.placed()
+    stage.owner(line("test", "00000000000000f0", why=0))
+    assert stage.ops == ["accept", "tested"] and stage.told[-1][1]["why"] == 1
