--- a/kelpfront/platform/admission.py
+++ b/kelpfront/platform/admission.py
@@ -11,6 +11,7 @@
 SILENT_S = 2.0  # a connection that has said nothing sound for so long, and carries nothing, is closed
 PIECE_S = 4.0  # a line that was begun goes on within it: as long as owners keep a connection without a task
 LINE_S = 10.0  # and ends within it
+FIRST_S = 2.5  # since it was opened: who has begun a line by then and never ended one may mean no request
 IDLE_S = 0.5  # one that was opened or heard later than this ago may have asked, or be about to ask again
 TURN_LINES = 256  # lines of one connection that are taken before the others have their turn
 UNREAD_MOST = 256 << 10  # bytes that an owner may leave unread before its connection is broken
@@ -108,10 +109,11 @@
 ) -> bool:
     """Whether a connection is closed, by seconds: it never said anything sound, or stopped in a line.
 
-    Owners may send a set-up in pieces, also a while after the last one: a line's time is its own.
+    Owners may send a set-up in pieces, also a while after the last one: a line's time is its own. Who has
+    sent nothing whole yet is closed, or answered, within 3 s: half a request alone must not hold on longer.
     """
     if carries:
         return False
-    if line is not None:
-        return now - line.grew_at >= PIECE_S or now - line.began_at >= LINE_S
-    return heard_at < opened_at and now - opened_at >= SILENT_S  # nothing sound so far
+    if heard_at < opened_at:  # nothing sound so far
+        return now - opened_at >= (SILENT_S if line is None else FIRST_S)
+    return line is not None and (now - line.grew_at >= PIECE_S or now - line.began_at >= LINE_S)
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -15,7 +15,7 @@
 from kelpfront import interface as api
 from kelpfront.interface import End, Load, MachineState, Reason
 from kelpfront.lab.platform import CALL, DESC, Json, event, line, member, offer
-from kelpfront.platform import admission, calls, messages
+from kelpfront.platform import admission, calls, messages, owners
 from kelpfront.platform.config import ConfigError, config_of
 from kelpfront.platform.core import Core
 from kelpfront.platform.directory import BadEventError, events_of
@@ -757,14 +757,19 @@
     assert closed(10.0, -1.0, 10.0 + admission.SILENT_S)
     assert not closed(10.0, -1.0, 99.0, carries=True)
     assert not closed(10.0, 11.0, 99.0)
-    for heard in (-1.0, 11.0):
-        begun = admission.Line.after(None, False, True, 20.0)
-        assert begun == admission.Line(20.0, 20.0)
-        assert not closed(10.0, heard, 20.0 + admission.PIECE_S - 0.1, line=begun)
-        assert closed(10.0, heard, 20.0 + admission.PIECE_S, line=begun)
-        assert not closed(10.0, heard, 99.0, carries=True, line=begun)
-        grown = admission.Line.after(begun, False, True, 20.0 + admission.LINE_S - 0.1)
-        assert not closed(10.0, heard, 20.0 + admission.LINE_S - 0.1, line=grown)
-        assert closed(10.0, heard, 20.0 + admission.LINE_S, line=grown)  # however it trickles in
-        assert admission.Line.after(grown, True, True, 50.0) == admission.Line(50.0, 50.0)
-        assert admission.Line.after(grown, True, False, 50.0) is None
+    begun = admission.Line.after(None, False, True, 20.0)
+    assert begun == admission.Line(20.0, 20.0)
+    assert not closed(10.0, 11.0, 20.0 + admission.PIECE_S - 0.1, line=begun)
+    assert closed(10.0, 11.0, 20.0 + admission.PIECE_S, line=begun)
+    assert not closed(10.0, 11.0, 99.0, carries=True, line=begun)
+    grown = admission.Line.after(begun, False, True, 20.0 + admission.LINE_S - 0.1)
+    assert not closed(10.0, 11.0, 20.0 + admission.LINE_S - 0.1, line=grown)
+    assert closed(10.0, 11.0, 20.0 + admission.LINE_S, line=grown)  # however it trickles in
+    assert admission.Line.after(grown, True, True, 50.0) == admission.Line(50.0, 50.0)
+    assert admission.Line.after(grown, True, False, 50.0) is None
+    # Half a request and no more, on a new connection: 3 s from its opening, a sweep included.
+    assert not closed(19.0, -1.0, 19.0 + admission.FIRST_S - 0.1, line=begun)
+    assert closed(19.0, -1.0, 19.0 + admission.FIRST_S, line=begun)
+    assert closed(19.0, -1.0, 19.0 + admission.FIRST_S, line=admission.Line(20.0, 21.4))
+    assert not closed(19.0, -1.0, 99.0, carries=True, line=begun)
+    assert admission.FIRST_S + owners.SWEEP_S < 3.0
--- a/tests/test_platform_pieces.py
+++ b/tests/test_platform_pieces.py
@@ -99,7 +99,7 @@
         await ops(owner, "tested")
     await until(lambda: placer.service._front._owners)
     (held,) = placer.service._front._owners.values()
-    held.opened_at -= 10.0
+    held.opened_at -= 10.0 if spoke else admission.SILENT_S + 0.1  # as far as sweeps let it come
     held.heard_at -= 5.0
     data = raw_offer()
     owner.say(data[:100])
@@ -160,12 +160,16 @@
     assert [m["call"] for m in machine.offers()] == [SECOND] and placer.core.counts["set-ups"] == 1
 
 
+@pytest.mark.parametrize("spoke", [True, False])
 async def test_a_line_that_stopped_is_closed_and_its_connection_not_held_for_good(
-    stage: Stage, monkeypatch: pytest.MonkeyPatch
+    stage: Stage, monkeypatch: pytest.MonkeyPatch, spoke: bool
 ) -> None:
-    monkeypatch.setattr(admission, "PIECE_S", 0.3)
+    monkeypatch.setattr(admission, "PIECE_S" if spoke else "FIRST_S", 0.3)
     placer = await stage.start(Machine("m-1"))
     owner = await placer.owner()
+    if spoke:
+        owner.say(line("test", "00000000000000f0", why=0))
+        await ops(owner, "tested")
     owner.say(raw_offer()[:50])
     assert await owner.read() is None
 
