platform: attempts and their ends in a file of their own, the core is what is told to it

Class Attempts (attempts.py) carries out decisions and holds calls, machines and sessions; Core builds on it and takes what owners, machines and the list say. No change of behaviour: the lines were moved, two fields that only owners' words use came along.

Measured: tests/test_layers.py and tests/test_platform_*.py pass (pytest -n 2).

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -91,6 +91,7 @@
     "client": {"informer", "retry"},
     "fronts": {"session"},
     "platform": {
+        "attempts",
         "calls",
         "core",
         "directory",
