An owner's socket is looked at before its set-up is decided and before each attempt goes out

Seen: an attempt began though its owner had closed, reset, half closed or withdrawn, wherever the word or the FIN had come and was not heard yet: a placer that stood still reads a set-up in one turn of the loop and the FIN behind it in the next; a refusal that is read first leads to the next attempt in the same turn; of many lines 256 are decided before the next are heard; a paused reader hears nothing at all. Lines at fault: Core.gate and Core.settle, which knew only what had been heard.

Now both ask the front, which looks at all that has come: lines that wait for their turn, what the stream holds, and the kernel (POLLRDHUP and what else is no input, MSG_PEEK for the word of this very call). What has left is withdrawn by the way of a heard close; the connection itself is taken as closed only when all ahead of its FIN has been heard, for tasks that are handed over may lie there.

--- a/kelpfront/platform/attempts.py
+++ b/kelpfront/platform/attempts.py
@@ -8,6 +8,7 @@
 
 import itertools
 from collections import Counter, deque
+from collections.abc import Callable
 
 from kelpfront import interface as api
 from kelpfront.platform import messages
@@ -16,10 +17,10 @@
 from kelpfront.platform.fleet import Fleet
 from kelpfront.platform.freshness import Freshness
 from kelpfront.platform.handovers import Handovers
-from kelpfront.platform.intents import Abandon, Forget, Intent, Offer, Say
+from kelpfront.platform.intents import Abandon, Conn, Forget, Intent, Offer, Presence, Say
 from kelpfront.platform.messages import Cause
 from kelpfront.platform.probes import Probes
-from kelpfront.platform.sessions import Sessions
+from kelpfront.platform.sessions import Session, Sessions
 from kelpfront.rules import Scheduler
 from kelpfront.timers import Timers
 
@@ -27,8 +28,11 @@
 class Attempts:
     """The calls, machines and sessions of one placer, and its attempts, from the decision to their end."""
 
-    def __init__(self, config: Config, scheduler: Scheduler) -> None:
+    def __init__(
+        self, config: Config, scheduler: Scheduler, presence: Callable[[Conn, str], Presence]
+    ) -> None:
         self._config, self._settings, self._scheduler = config, config.settings, scheduler
+        self._presence = presence
         self.out: list[Intent] = []
         self.logs: list[str] = []
         self.fleet = Fleet()
@@ -136,6 +140,8 @@
         attempt = self.calls.open_attempt(call_id, number)
         if attempt is None or attempt.written or now >= attempt.due:
             return None
+        if not self._waits(now, attempt.call):
+            return None
         machine = self.machines.get(attempt.machine)
         if machine is None or machine.state is not api.MachineState.READY or now > attempt.latest:
             self._close(now, attempt, api.End.NOT_SENT)
@@ -211,6 +217,39 @@
         else:
             self._drop(call)
 
+    # ---- Owners that leave ----------------------------------------------------------------------------
+
+    def owner_closed(self, now: float, conn: Conn) -> None:
+        """Set-ups open on it are given up; tasks that stand go on."""
+        self._give_all_up(now, self.sessions.close(conn))
+
+    def _give_all_up(self, now: float, session: Session | None) -> None:
+        for call in [] if session is None else list(session.calls.values()):
+            if not call.answered:
+                self._withdraw(now, call)
+
+    def _withdraw(self, now: float, call: Call) -> None:
+        self.counts["withdrawn"] += 1
+        if call.decided:
+            self._decide(now, api.TaskWithdrawn(call.task))
+        if not call.answered:
+            self._finish(now, call)
+
+    def _waits(self, now: float, call: Call) -> bool:
+        """Whether its owner still waits; what has been given up, heard or not yet, is withdrawn.
+
+        A connection that has closed is not taken as closed before what came ahead of that has been heard.
+        """
+        presence = self._presence(call.conn, call.call)
+        if presence is Presence.HERE:
+            return True
+        self.counts["left unread"] += 1
+        if presence is Presence.LEFT:
+            self._give_all_up(now, self.sessions.get(call.conn))
+        if not call.answered:
+            self._withdraw(now, call)
+        return False
+
     def _move(self, now: float, task: api.TaskId) -> None:
         call = self.calls.of_task(task)
         if call is None or call.out is None or not call.out.placed or call.ended:
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from kelpfront import interface as api
 from kelpfront.platform import messages
@@ -15,7 +15,7 @@
 from kelpfront.platform.calls import Attempt, Call, Machine
 from kelpfront.platform.config import Config
 from kelpfront.platform.directory import Event
-from kelpfront.platform.intents import Conn, Listen, Say, Tell
+from kelpfront.platform.intents import Conn, Listen, Presence, Say, Tell
 from kelpfront.platform.messages import BadMessageError, Cause, Message, SetUp
 from kelpfront.platform.sessions import Session
 from kelpfront.rules import Scheduler
@@ -26,20 +26,18 @@
 class Core(Attempts):
     """One placer. The methods return nothing; they fill `out`, and `timers` says when a tick is wanted."""
 
-    def __init__(self, config: Config, scheduler: Scheduler) -> None:
-        super().__init__(config, scheduler)
+    def __init__(
+        self,
+        config: Config,
+        scheduler: Scheduler,
+        presence: Callable[[Conn, str], Presence] = lambda conn, call: Presence.HERE,
+    ) -> None:
+        super().__init__(config, scheduler, presence)
         self._arrivals: list[Call] = []
         self.closing = False  # told to end, and past the time in which owners may not know of it
 
     # ---- Owners ---------------------------------------------------------------------------------------
 
-    def owner_closed(self, now: float, conn: Conn) -> None:
-        """Set-ups open on it are given up; tasks that stand go on."""
-        session = self.sessions.close(conn)
-        for call in [] if session is None else list(session.calls.values()):
-            if not call.answered:
-                self._withdraw(now, call)
-
     def untold(self, now: float, line: Tell) -> None:
         """The line could not be written: its connection is closing, and has not been reported closed yet."""
         self.owner_closed(now, line.conn)
@@ -93,13 +91,6 @@
                 data = messages.encode("end", call.call, {}, message.why or Cause.NORMAL)
                 self.out.append(Say(call.out.machine, data))
 
-    def _withdraw(self, now: float, call: Call) -> None:
-        self.counts["withdrawn"] += 1
-        if call.decided:
-            self._decide(now, api.TaskWithdrawn(call.task))
-        if not call.answered:
-            self._finish(now, call)
-
     def _set_up(self, now: float, conn: Conn, message: Message, unread_ms: float) -> bool:
         held = self.calls.get(message.call)
         try:
@@ -148,7 +139,7 @@
         """
         arrivals, self._arrivals = self._arrivals, []
         for call in arrivals:
-            if not call.answered:
+            if not call.answered and self._waits(now, call):
                 asked, left = call.set_up, max(0.0, call.due - now)
                 call.decided = True
                 self._decide(
--- a/kelpfront/platform/intents.py
+++ b/kelpfront/platform/intents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from kelpfront.interface import MachineId
 
@@ -10,6 +11,14 @@
 """The number of an owner's connection, never used twice."""
 
 
+class Presence(Enum):
+    """Whether the owner of a set-up still waits for it, by all that has come from it, read or not."""
+
+    HERE = "here"
+    WITHDRAWN = "withdrawn"  # a line that gives this set-up up has come
+    LEFT = "left"  # its connection is closed or reset, or sends no more
+
+
 @dataclass(frozen=True, slots=True)
 class Tell:
     """A line to an owner.
--- a/kelpfront/platform/messages.py
+++ b/kelpfront/platform/messages.py
@@ -77,6 +77,11 @@
             raise BadMessageError(f"a line of over {LINE_MOST} bytes")
         return lines
 
+    @property
+    def rest(self) -> bytes:
+        """What has come of a line that has not ended."""
+        return self._rest
+
     @property
     def partial(self) -> bool:
         """Whether a line has begun and has not ended."""
@@ -115,6 +120,17 @@
     return message
 
 
+def gives_up(unread: bytes, call: str) -> bool:
+    """Whether a whole line among these ends the call. What lies behind a spoilt line is never heard."""
+    name = call.encode()
+    if name not in unread:
+        return False
+    try:
+        return any(name in line and decode(line).op == "end" for line in unread.split(b"\n")[:-1])
+    except BadMessageError:
+        return False
+
+
 def encode(
     op: str, call: str, with_: dict[str, str], why: int | None = None, desc: str | None = None
 ) -> bytes:
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import itertools
+import select
 import socket
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import SupportsIndex
 
 import structlog
 
@@ -19,8 +21,8 @@
 )
 from kelpfront.platform.config import Address
 from kelpfront.platform.core import Core
-from kelpfront.platform.intents import Conn, Tell
-from kelpfront.platform.messages import LINE_MOST, BadMessageError, Lines, decode
+from kelpfront.platform.intents import Conn, Presence, Tell
+from kelpfront.platform.messages import LINE_MOST, BadMessageError, Lines, decode, gives_up
 from kelpfront.platform.turns import Turns, Unread
 
 log = structlog.get_logger("kelpfront.platform.owners")
@@ -29,15 +31,73 @@
 SWEEP_S = 0.25
 CLOSE_LOOK_S = 0.005
 READ_SIZE = 4 * LINE_MOST
+PEEK_MOST = 256 << 10  # bytes in the kernel that are looked through for a word that gives a set-up up
 LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 
 
+class _Inbox(asyncio.StreamReader):
+    """A stream that can be looked into: `held` is what has been read from the kernel and by nobody else."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=LINE_MOST, loop=asyncio.get_running_loop())
+        self.held = bytearray()
+        self.ended = False
+
+    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
+        self.held += bytes(data)
+        super().feed_data(data)
+
+    def feed_eof(self) -> None:
+        self.ended = True
+        super().feed_eof()
+
+    async def read(self, n: int = -1) -> bytes:
+        data = await super().read(n)
+        del self.held[: len(data)]
+        return data
+
+
 @dataclass(slots=True, eq=False)
 class _Owner:
+    inbox: _Inbox
     writer: asyncio.StreamWriter
     opened_at: float
     heard_at: float = -1.0
-    partial: bool = False  # it has begun a line and not ended it
+    cutter: Lines = field(default_factory=Lines)
+    unheard: list[bytes] = field(default_factory=list)  # lines that wait for their turn
+
+    def presence(self, call: str) -> Presence:
+        """By all that has come: lines that wait, what the stream holds, and what lies in the kernel."""
+        if self.inbox.ended or self.writer.is_closing():
+            return Presence.LEFT
+        kernel = b""
+        fd = self.writer.get_extra_info("socket").fileno()
+        poll = select.poll()
+        poll.register(fd, select.POLLIN | select.POLLRDHUP)
+        for _, found in poll.poll(0):
+            if found & ~select.POLLIN:
+                return Presence.LEFT
+            peeked = _peek(fd)
+            if peeked == b"":
+                return Presence.LEFT
+            kernel = peeked or b""
+        if not (kernel or self.inbox.held or self.unheard):
+            return Presence.HERE
+        unread = b"".join((b"\n".join((*self.unheard, self.cutter.rest)), self.inbox.held, kernel))
+        return Presence.WITHDRAWN if gives_up(unread, call) else Presence.HERE
+
+
+def _peek(fd: int) -> bytes | None:
+    """What lies unread in the kernel: no bytes where the connection has ended, None where it does not say."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
+    try:
+        return sock.recv(PEEK_MOST, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except ConnectionError:
+        return b""
+    except OSError:
+        return None
+    finally:
+        sock.detach()
 
 
 class Front:
@@ -71,8 +131,8 @@
             sock.close()
             raise
         # asyncio accepts as many in one go as its backlog says; the kernel's queue may be longer.
-        self._server = await asyncio.start_server(
-            self._serve, sock=sock, backlog=ACCEPT_BURST, limit=LINE_MOST
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: asyncio.StreamReaderProtocol(_Inbox(), self._serve), sock=sock, backlog=ACCEPT_BURST
         )
         sock.listen(LISTEN_QUEUE)
         return int(sock.getsockname()[1])
@@ -85,7 +145,8 @@
                 writer.transport.abort()
                 return
         conn = next(self._numbers)
-        owner = _Owner(writer, asyncio.get_running_loop().time())
+        assert isinstance(reader, _Inbox)
+        owner = _Owner(reader, writer, asyncio.get_running_loop().time())
         peername = writer.get_extra_info("peername")
         self._owners[conn] = owner
         self._eviction.opened(conn, owner.opened_at)
@@ -94,7 +155,7 @@
         self._core.sessions.open(self._now(), conn, peername[0] if peername else "")
         self._flush()
         try:
-            await self._read(conn, owner, reader)
+            await self._read(conn, owner)
         except OSError:
             pass
         except BadMessageError:
@@ -108,17 +169,17 @@
             if writer.transport.get_write_buffer_size():  # one that does not read would hold it for good
                 asyncio.get_running_loop().call_later(LINGER_S, writer.transport.abort)
 
-    async def _read(self, conn: Conn, owner: _Owner, reader: asyncio.StreamReader) -> None:
+    async def _read(self, conn: Conn, owner: _Owner) -> None:
         """Takes what has arrived, in turns. Set-ups are decided when the turn's lines have been heard."""
-        cutter, loop = Lines(), asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
         unread = Unread(self._turns)
-        while not owner.writer.is_closing() and (data := await reader.read(READ_SIZE)):
+        while not owner.writer.is_closing() and (data := await owner.inbox.read(READ_SIZE)):
             unread.read()
-            lines = cutter.feed(data)
-            owner.partial = cutter.partial
-            for start in range(0, len(lines), TURN_LINES):
+            owner.unheard = owner.cutter.feed(data)
+            while owner.unheard:
                 try:
-                    for line in lines[start : start + TURN_LINES]:
+                    turn, owner.unheard = owner.unheard[:TURN_LINES], owner.unheard[TURN_LINES:]
+                    for line in turn:
                         if self._core.owner_says(self._now(), conn, decode(line), unread.for_ms()):
                             owner.heard_at = loop.time()
                             self._eviction.heard(conn, owner.heard_at)
@@ -150,11 +211,16 @@
             log.warning("an owner does not read", unread=transport.get_write_buffer_size())
             transport.abort()
 
+    def presence(self, conn: Conn, call: str) -> Presence:
+        """Asked right before a set-up is decided, and right before each of its attempts goes out."""
+        owner = self._owners.get(conn)
+        return Presence.LEFT if owner is None else owner.presence(call)
+
     def sweep(self) -> None:
         now = asyncio.get_running_loop().time()
         for conn, owner in list(self._owners.items()):
             carries = self._core.carries(conn)
-            if closed_for_silence(owner.opened_at, owner.heard_at, carries, owner.partial, now):
+            if closed_for_silence(owner.opened_at, owner.heard_at, carries, owner.cutter.partial, now):
                 owner.writer.close()
 
     async def close(self) -> None:
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -43,7 +43,11 @@
     def __init__(self, path: Path, config: Config, turns: Turns | None = None) -> None:
         self._path, self._config = path, config
         self._clock = CommonClock()
-        self.core = Core(config, Scheduler(config.settings, config.seed))
+        self.core = Core(
+            config,
+            Scheduler(config.settings, config.seed),
+            lambda conn, call: self._front.presence(conn, call),
+        )
         shares = admission.Shares.of(config.sockets)
         self._budget = Budget(shares.machines)
         self._front = Front(
