--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -92,6 +92,7 @@
     "client": {"informer", "retry"},
     "fronts": {"session"},
     "platform": {
+        "attempts",
         "calls",
         "core",
         "directory",
