Kills right behind an accept: of a machine's process, of a placer's, by class

What the program does was read and found right: an accept that lies unread when its machine's process is killed counts, and the task is told as over; a placer's process killed as its owner has the accept leaves a task that its next life or another placer is handed, hears the end of and tells once. No second start in any class.

No mend was needed, so the tests were held against changes to the program: with losses not released the machine's test fails, with hand-overs read as set-ups both cases of the placer's.

--- /dev/null
+++ b/tests/test_platform_kills.py
@@ -0,0 +1,129 @@
+"""Kills right behind an accept, of a machine's process and of a placer's: rows of docs/design/platform.md."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from platforms import Placer, Stage, ops, raw_config
+from test_platform_fleet import ready
+from waiting import until
+
+from kelpfront.lab.fleet.lists import ListService
+from kelpfront.lab.fleet.ports import free_port
+from kelpfront.lab.fleet.processes import PlacerProcess, bounded
+from kelpfront.lab.fleet.settings import config_json
+from kelpfront.lab.platform import CALL, Machine, event, line, member, offer
+
+CLASSES = pytest.mark.parametrize("cls", ["easy", "keyed", "once"])
+OWED_S = 8.0  # in which the end of what stood has to be told
+LATER_S = 0.5  # for what must not come
+
+# Accepts the first offer and is gone at once: before it could read a word more, or end a connection in order.
+DIES_BEHIND_ITS_ACCEPT = """
+import asyncio, os, signal
+from kelpfront.lab.platform import Machine, accepts, line
+
+async def script(machine, peer, message):
+    if message["op"] != "offer":
+        await accepts(machine, peer, message)
+        return
+    os.write(peer.writer.get_extra_info("socket").fileno(), line("accept", message["call"], desc="here"))
+    os.kill(os.getpid(), signal.SIGKILL)
+
+async def main():
+    machine = Machine("m-1", script)
+    await machine.start()
+    print(machine.address, flush=True)
+    await asyncio.sleep(600)
+
+asyncio.run(main())
+"""
+
+
+@pytest.fixture
+async def stage(tmp_path: Path) -> AsyncIterator[Stage]:
+    made = Stage(tmp_path)
+    yield made
+    await made.stop()
+
+
+@CLASSES
+async def test_a_machine_killed_right_behind_its_accept_has_its_task_told_as_over(
+    stage: Stage, cls: str
+) -> None:
+    """A process. Its task stood and is over with it: the owner is told once, and nothing starts it again."""
+    dies = await asyncio.create_subprocess_exec(
+        *bounded(512, 0, "-c", DIES_BEHIND_ITS_ACCEPT), stdout=asyncio.subprocess.PIPE
+    )
+    assert dies.stdout is not None
+    address = (await dies.stdout.readline()).decode().strip()
+    await stage.coordinator.start()
+    raw = raw_config(member("m-1", address), coordinator=stage.coordinator.address)
+    placer = stage.placer = Placer(stage.path / "config.json", raw)
+    await placer.start()
+    owner = await placer.owner()
+    owner.say(offer(cls=cls, left="2000"))
+    (accepted,) = await ops(owner, "accept")
+    assert accepted["desc"] == "here"
+    await dies.wait()
+    began = time.monotonic()
+    (ended,) = await ops(owner, "end")
+    assert ended["why"] == 41 and time.monotonic() - began < OWED_S
+    other = Machine("m-2")
+    await other.start()
+    stage.machines["m-2"] = other
+    stage.coordinator.events.append(event(2, member("m-2", other.address)))
+    await until(lambda: placer.core.fleet.index == 2)
+    await asyncio.sleep(LATER_S)
+    assert other.offers() == [] and not placer.core.calls and placer.core.counts["tasks lost"] == 1
+
+
+@CLASSES
+@pytest.mark.parametrize("next_one", ["its next life", "another placer"])
+async def test_a_placer_killed_right_behind_an_accept_leaves_a_task_that_is_handed_over(
+    tmp_path: Path, cls: str, next_one: str
+) -> None:
+    """Two processes. Whoever is handed the task hears of its end; nobody starts it a second time."""
+    machine, service = Machine("m-1"), ListService()
+    await machine.start()
+    whole = event(1, member("m-1", machine.address), whole=True)
+    service.updates = [whole]
+    await service.start()
+    placers = []
+    for number in range(2):
+        addresses = f"127.0.0.1:{free_port()}", f"127.0.0.1:{service.port}"
+        config = config_json(number, 2, *addresses, {"index": 1, "updates": [whole]})
+        placers.append(PlacerProcess(f"p{number}", config, tmp_path))
+    first, other = placers
+    try:
+        for placer in placers:
+            await placer.start()
+        owner = await ready(first)
+        owner.say(offer(cls=cls))
+        await ops(owner, "accept")
+        await first.kill()
+        assert await owner.read() is None
+        if next_one == "its next life":
+            await first.start()
+            other = first
+        owner = await ready(other)
+        opened = machine.opened
+        owner.say(offer(cls=cls, left="4294967", extras="cores:1;memory:2;service:b4;at:m-1"))
+        await until(lambda: machine.opened > opened)  # to hear of its end
+        await asyncio.sleep(LATER_S)
+        assert len(machine.offers()) == 1
+        machine.peers[-1].say(line("end", CALL, why=16))
+        (ended,) = await ops(owner, "end")
+        assert (ended["call"], ended["why"]) == (CALL, 16)
+        owner.say(line("test", "00000000000000f0", why=0))
+        await ops(owner, "tested")  # no second one
+        assert other.alive
+    finally:
+        for placer in placers:
+            await placer.kill()
+        await service.stop()
+        machine.die()
