A placer's own descriptors are never given to owners; machines take turns past the rest

Seen: with limits.sockets and RLIMIT_NOFILE of 64 or 256, 300 clients that connect and hold on, the list refusing or silent, and tasks on more machines than there are descriptors, no owner was served within 20 s; machines that lived were held for dead (their tasks released with 41). admission.py gave 32 connections to owners "whatever machines hold" and kept 2 x 24 for a burst, so that at 64 nothing was left, and left out the asks for the list; asyncio's server accepts whatever comes and then rests for a second (owners.py, start); connections that linger in their close were not counted (owners.py, _serve); a pool without a connection always opened one (machines.py, _may_open), so machines had no bound but the system's, and a dial that failed for want of a descriptor counted as a machine that is not reached; the log's figures ended for good with the first refused look at /proc (service.py, _figures).

Now Shares leaves room for files (as many as were open at the start, at least), the asks and two bursts, which shrink with the descriptors. A listener of our own counts sockets until they are closed and accepts no more than fit. Past their share machines take what idle owners give back, then the connection that was unused longest; a pool that finds none waits in line. RLIMIT_NOFILE counts where it is lower than the settings.

Tests: a process with 64 and 256 descriptors, refusing and silent list (3 cases); 80 machines with 64 descriptors; every order of connections against the shares.

--- a/kelpfront/platform/admission.py
+++ b/kelpfront/platform/admission.py
@@ -1,4 +1,4 @@
-"""What is let in: bounds on owners' connections and on what one of them may hold. Pure."""
+"""Who gets a descriptor: bounds on connections of owners and to machines, and on what one may hold. Pure."""
 
 from __future__ import annotations
 
@@ -12,31 +12,51 @@
 IDLE_S = 0.5  # one that was opened or heard later than this ago may have asked, or be about to ask again
 TURN_LINES = 256  # lines of one connection that are taken before the others have their turn
 UNREAD_MOST = 256 << 10  # bytes that an owner may leave unread before its connection is broken
-ACCEPT_BURST = 24  # connections that are accepted before their bounds are looked at
+ACCEPT_BURST = 24  # connections that are accepted before their bounds are looked at, where there are many
 FILES = 16  # descriptors that are no connections: standard streams, the listener, the loop's own, modules
+FILES_LATER = 8  # of those, opened after the start: the listener, the file of a reload, looks for the log
+ASKS = 6  # for the list: two out, two being dropped, and those of another address after a move
 OWNERS_LEAST = 32  # whatever machines hold: a placer that lets nobody in is of no use
+BURST_SHARE = 16  # of the descriptors that are accepted in one go, at most one in so many
 
 
 @dataclass(frozen=True, slots=True)
 class Shares:
-    """How many descriptors each side may hold; the rest is for files and what is just being accepted.
+    """How many descriptors each side may hold.
 
-    Past its share a machine without a connection still gets one, for tasks stand there. Owners make room for
-    it: without descriptors nobody could be let in for a second at a time.
+    The rest is for files, for the asks for the list, and for `burst` connections that were just accepted and
+    as many that were just broken to make room, whose sockets are closed a turn later. Nobody else takes it:
+    a placer without a descriptor cannot hear of a drain, and a machine that it cannot dial seems dead.
+
+    Past their share a machine without a connection still gets one, for tasks stand there: to `machines_most`.
+    Idle owners make room for it, and where none is idle, the connection to another machine that is.
     """
 
     owners: int
+    owners_least: int
     machines: int
+    machines_most: int
     both: int
+    burst: int
 
     @classmethod
-    def of(cls, sockets: int) -> Shares:
-        spare = FILES + 2 * ACCEPT_BURST  # accepted, and broken to make room for them, in one turn
-        return cls(owners=sockets * 11 // 20, machines=sockets // 4, both=sockets - spare)
+    def of(cls, sockets: int, open_at_start: int = 0) -> Shares:
+        """`open_at_start`: descriptors that the process had before it opened any connection."""
+        burst = max(2, min(ACCEPT_BURST, sockets // BURST_SHARE))
+        spare = max(FILES, open_at_start + FILES_LATER) + ASKS + 2 * burst
+        both = max(4, sockets - spare)
+        least = min(OWNERS_LEAST, both // 2)
+        machines = min(sockets // 4, both - least)
+        owners = min(sockets * 11 // 20, both - machines)
+        return cls(owners, least, machines, both - least, both, burst)
 
     def owners_beside(self, machines: int) -> int:
         """How many connections owners may hold beside so many to machines."""
-        return max(OWNERS_LEAST, min(self.owners, self.both - machines))
+        return max(self.owners_least, min(self.owners, self.both - machines))
+
+    def machine_may_open(self, machines: int, owners: int) -> bool:
+        """Whether one more connection to a machine has a descriptor, beside so many of either side."""
+        return machines < self.machines_most and machines + owners < self.both
 
 
 class EvictionOrder(Generic[K]):
--- a/kelpfront/platform/machines.py
+++ b/kelpfront/platform/machines.py
@@ -88,10 +88,56 @@
 
 
 class Budget:
-    """Descriptors that all pools together may hold; one without any may always open one."""
+    """Descriptors that all pools together hold. Past `most`, only a pool without a connection opens one.
 
-    def __init__(self, most: int) -> None:
-        self.most, self.held = most, 0
+    It does as long as `more` finds a descriptor for it, and else on one of a connection that carries nothing.
+    """
+
+    def __init__(self, most: int, more: Callable[[], bool]) -> None:
+        self.most, self.more, self.held = most, more, 0
+        self._wires: dict[_Wire, ConnectionPool] = {}  # the longest unused first
+        self._without: dict[ConnectionPool, None] = {}  # that wait for a descriptor
+        self._looks = False
+
+    def used(self, wire: _Wire, pool: ConnectionPool) -> None:
+        self._wires.pop(wire, None)
+        self._wires[wire] = pool
+
+    def back(self, wire: _Wire | None = None) -> None:
+        """One descriptor is given back; who waits longest for one has it."""
+        self.held -= 1
+        if wire is not None:
+            del self._wires[wire]
+        self.idle()
+
+    def idle(self) -> None:
+        """A connection carries nothing any more, or is closed: it may make room."""
+        if self._without and not self._looks:
+            self._looks = True
+            asyncio.get_running_loop().call_soon(self.look)
+
+    def look(self) -> None:
+        """Those that wait longest for a descriptor have those that may be had."""
+        self._looks = False
+        for pool in list(self._without):
+            pool.try_again()
+            if pool in self._without:
+                return
+
+    def wait(self, pool: ConnectionPool) -> None:
+        """None is to be had for it now."""
+        self._without[pool] = None
+
+    def waits_no_more(self, pool: ConnectionPool) -> None:
+        self._without.pop(pool, None)
+
+    def make_room(self) -> bool:
+        """Closes the connection that was used longest ago, of those that nothing waits on."""
+        for wire, pool in self._wires.items():
+            if not wire.waiting and not wire.stuck:
+                pool.give_way(wire)
+                return True
+        return False
 
 
 class ConnectionPool:
@@ -141,19 +187,40 @@
             self._core.reached("connections to machines")
             self._write(shared, intent)
         else:  # it goes out on the first that comes up, or is given up at its time
+            if not self._opening and not self._wires:
+                self._core.reached("descriptors")
+                self._budget.wait(self)
             self._queue.append(intent)
 
     def _begin(self) -> None:
         """A connection is about to be opened: what is sent until then is to know of it."""
+        self._budget.waits_no_more(self)
         self._opening += 1
         self._budget.held += 1
 
     def _may_open(self, intent: Offer | Test) -> bool:
         if len(self._wires) + self._opening >= CONNECTIONS:
             return False
-        return self._budget.held < self._budget.most or not (
-            self._opening or any(wire.takes(intent) for wire in self._wires)
-        )
+        if self._budget.held < self._budget.most:
+            return True
+        if self._opening or any(wire.takes(intent) for wire in self._wires):
+            return False
+        return self._budget.more() or self._budget.make_room()
+
+    def try_again(self) -> None:
+        """A descriptor may be had again: for what is queued, or for what machines say of tasks there."""
+        wanted = self._queue or self._unsaid or self._core.holds(self._ident)
+        if not wanted or self.closed or self._wires or self._opening:
+            self._budget.waits_no_more(self)
+        elif self._queue and (self._budget.more() or self._budget.make_room()):
+            self._begin()
+            self._spawn(self._connect())
+        elif not self._queue and self._budget.more():
+            self.listen()
+
+    def give_way(self, wire: _Wire) -> None:
+        """Closes a connection that carries nothing. What its machine has to say comes on the next."""
+        self._end(wire, gives_way=True)
 
     def _shared(self, intent: Offer | Test) -> _Wire | None:
         return min((w for w in self._wires if w.takes(intent)), key=lambda w: len(w.waiting), default=None)
@@ -175,6 +242,7 @@
             return
         wire.carry(intent.call, number)
         wire.used_at = asyncio.get_running_loop().time()
+        self._budget.used(wire, self)
         wire.writer.write(data)
         if wire.stuck and isinstance(intent, Offer):
             # The machine's end has not taken all of it. What it has is no message, and never becomes one.
@@ -222,12 +290,19 @@
     def listen(self) -> None:
         """Keep a connection open while tasks stand there."""
         if not self._wires and self._listening is None and not self.closed:
+            if self._budget.held >= self._budget.most and not self._budget.more():
+                self._core.reached("descriptors")
+                self._budget.wait(self)
+                return
             self._listening = self._spawn(self._reopen())
 
     async def _reopen(self) -> None:
         reach = Reach()
         try:
             while not self._wires and not self.closed and (self._core.holds(self._ident) or self._unsaid):
+                if self._budget.held >= self._budget.most and not self._budget.more():
+                    self._budget.wait(self)
+                    return
                 self._begin()
                 try:
                     await self._open()
@@ -261,7 +336,7 @@
         except (OSError, TimeoutError):
             if not self.closed:
                 self._opening -= 1
-                self._budget.held -= 1
+                self._budget.back()
             raise
         if self.closed:  # which has taken back what was begun
             writer.transport.abort()
@@ -269,6 +344,7 @@
         self._opening -= 1
         wire = _Wire(reader, writer, asyncio.get_running_loop().time())
         self._wires[wire] = None
+        self._budget.used(wire, self)
         for data in self._unsaid:
             writer.write(data)
         self._unsaid.clear()
@@ -321,13 +397,15 @@
         if number is not None and message.op in ("accept", "end", "tested"):
             wire.waiting.pop((message.call, number), None)
             self._retire(wire)
+            if not wire.waiting:
+                self._budget.idle()
 
-    def _end(self, wire: _Wire) -> None:
+    def _end(self, wire: _Wire, gives_way: bool = False) -> None:
         if wire.closed:
             return
         wire.closed = True
         del self._wires[wire]
-        self._budget.held -= 1
+        self._budget.back(wire)
         wire.writer.transport.abort()
         now = self._now()
         for call, number in wire.waiting:
@@ -335,7 +413,7 @@
         wire.waiting.clear()
         if not self.closed:
             self._core.connection_ended(self._ident)
-            if self._core.holds(self._ident):
+            if self._core.holds(self._ident) and not gives_way:
                 self.listen()
             self._not_opened()  # it may have ended before anything went out on it
 
@@ -350,6 +428,7 @@
     def close(self) -> None:
         """Breaks all connections; what waits is told, so that nothing is held for its time-out."""
         self.closed = True
+        self._budget.waits_no_more(self)
         for wire in list(self._wires):
             self._end(wire)
         for intent in self._queue:
@@ -358,7 +437,8 @@
         self._queue.clear()
         for task in list(self._tasks):
             task.cancel()
-        self._budget.held -= self._opening  # of those that are cancelled, maybe before they ran
+        for _ in range(self._opening):  # of those that are cancelled, maybe before they ran
+            self._budget.back()
         self._opening = 0
 
 
--- a/kelpfront/platform/owners.py
+++ b/kelpfront/platform/owners.py
@@ -20,6 +20,7 @@
 from kelpfront.platform.config import Address
 from kelpfront.platform.core import Core
 from kelpfront.platform.intents import Conn, Tell
+from kelpfront.platform.listener import Listener
 from kelpfront.platform.messages import LINE_MOST, BadMessageError, Lines, decode
 from kelpfront.platform.turns import Turns, Unread
 
@@ -41,7 +42,10 @@
 
 
 class Front:
-    """`most` tells how many connections may be held now, `turns` since when what is read may lie there."""
+    """`most` tells how many connections may be held now, `turns` since when what is read may lie there.
+
+    `burst`: so many more sockets may be open, of connections just accepted or being closed.
+    """
 
     def __init__(
         self,
@@ -50,13 +54,19 @@
         flush: Callable[[], None],
         most: Callable[[], int],
         turns: Turns | None = None,
+        burst: int = ACCEPT_BURST,
     ) -> None:
         self._core, self._now, self._flush, self._most = core, now, flush, most
-        self._turns = turns
+        self._turns, self._burst = turns, burst
         self._owners: dict[Conn, _Owner] = {}
         self._eviction: EvictionOrder[Conn] = EvictionOrder()
         self._numbers = itertools.count(1)
-        self._server: asyncio.Server | None = None
+        self._lingering: dict[asyncio.StreamWriter, None] = {}
+        self._server: Listener | None = None
+
+    def __len__(self) -> int:
+        """Connections that are held."""
+        return len(self._owners)
 
     async def start(self, address: Address) -> int:
         """Listens; returns the port."""
@@ -70,11 +80,9 @@
         except OSError:
             sock.close()
             raise
-        # asyncio accepts as many in one go as its backlog says; the kernel's queue may be longer.
-        self._server = await asyncio.start_server(
-            self._serve, sock=sock, backlog=ACCEPT_BURST, limit=LINE_MOST
-        )
-        sock.listen(LISTEN_QUEUE)
+        most = lambda: self._most() + self._burst  # noqa: E731
+        self._server = Listener(sock, self._serve, LINE_MOST, self._burst, most, self._full)
+        self._server.start(LISTEN_QUEUE)
         return int(sock.getsockname()[1])
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -106,7 +114,25 @@
             self._flush()
             writer.close()
             if writer.transport.get_write_buffer_size():  # one that does not read would hold it for good
-                asyncio.get_running_loop().call_later(LINGER_S, writer.transport.abort)
+                self._lingering[writer] = None
+                asyncio.get_running_loop().call_later(LINGER_S, self._end_lingering, writer)
+
+    def _end_lingering(self, writer: asyncio.StreamWriter) -> None:
+        self._lingering.pop(writer, None)
+        writer.transport.abort()
+
+    def _full(self) -> None:
+        """No descriptor is left for one more: what only lingers gives its own back."""
+        for writer in list(self._lingering):
+            self._end_lingering(writer)
+        self.shrink(self._most())
+
+    def shrink(self, most: int) -> bool:
+        """Closes idle connections until no more than `most` are held; whether that could be done."""
+        while len(self._owners) > most:
+            if not self._make_room():
+                return False
+        return True
 
     async def _read(self, conn: Conn, owner: _Owner, reader: asyncio.StreamReader) -> None:
         """Takes what has arrived, in turns. Set-ups are decided when the turn's lines have been heard."""
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -8,6 +8,7 @@
 import math
 import os
 import random
+import resource
 import signal
 from collections.abc import Callable
 from pathlib import Path
@@ -44,10 +45,17 @@
         self._path, self._config = path, config
         self._clock = CommonClock()
         self.core = Core(config, Scheduler(config.settings, config.seed))
-        shares = admission.Shares.of(config.sockets)
-        self._budget = Budget(shares.machines)
+        self._shares = shares = admission.Shares.of(
+            min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]), _descriptors()
+        )
+        self._budget = Budget(shares.machines, self._one_more)
         self._front = Front(
-            self.core, self._clock.now, self.flush, lambda: shares.owners_beside(self._budget.held), turns
+            self.core,
+            self._clock.now,
+            self.flush,
+            lambda: shares.owners_beside(self._budget.held),
+            turns,
+            shares.burst,
         )
         self._pools: dict[MachineId, ConnectionPool] = {}
         self._follower = Follower(
@@ -186,6 +194,13 @@
             )
         call(pool)
 
+    def _one_more(self) -> bool:
+        """Whether one more connection to a machine has a descriptor; idle owners make room for it."""
+        shares, held = self._shares, self._budget.held
+        if held < shares.machines_most:
+            self._front.shrink(shares.both - held - 1)
+        return shares.machine_may_open(held, len(self._front))
+
     def _set_timer(self) -> None:
         due = self.core.timers.next()
         if self._timer is not None and due < self._timer_at:
@@ -249,6 +264,7 @@
                 pools_at = loop.time()
                 for pool in list(self._pools.values()):
                     pool.sweep()
+                self._budget.look()  # an owner may have left
 
     async def _figures(self) -> None:
         while True:
@@ -257,9 +273,17 @@
 
 
 def _memory_mb() -> float:
-    with open("/proc/self/statm") as file:
-        return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+    """-1 where it cannot be read."""
+    try:
+        with open("/proc/self/statm") as file:
+            return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+    except OSError:
+        return -1.0
 
 
 def _descriptors() -> int:
-    return len(os.listdir("/proc/self/fd"))
+    """Those that are open, without the one that this look takes; -1 where it cannot be read."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1
+    except OSError:
+        return -1
--- /dev/null
+++ b/tests/placers.py
@@ -0,0 +1,34 @@
+"""Placers as processes, as seen by an owner."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from kelpfront.lab.fleet.processes import PlacerProcess
+from kelpfront.lab.platform import Peer, line
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+async def reached(placer: PlacerProcess) -> Peer | None:
+    """A connection to it that has passed a test; None where it does not let owners in yet."""
+    try:
+        peer = Peer(*await asyncio.open_connection("127.0.0.1", placer.port))
+    except OSError:
+        return None
+    peer.say(line("test", "00000000000000f0", why=0))
+    answer = await peer.read()
+    return peer if answer is not None and answer["why"] == 1 else None
+
+
+async def ready(placer: PlacerProcess, within_s: float = 60.0) -> Peer:
+    async with asyncio.timeout(within_s):
+        while (peer := await reached(placer)) is None:
+            assert placer.alive
+            await asyncio.sleep(0.01)
+    return peer
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import psutil
 import pytest
+from placers import free_port, reached, ready
 from waiting import until
 
 from kelpfront.lab.fleet.lists import ListService
@@ -22,12 +22,6 @@
 TOLD_S = 1.5  # three times what rule 3 gives: the host of the tests may be busy
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @pytest.fixture
 async def service() -> AsyncIterator[ListService]:
     its = ListService()
@@ -36,25 +30,6 @@
     await its.stop()
 
 
-async def reached(placer: PlacerProcess) -> Peer | None:
-    """A connection to it that has passed a test; None where it does not let owners in yet."""
-    try:
-        peer = Peer(*await asyncio.open_connection("127.0.0.1", placer.port))
-    except OSError:
-        return None
-    peer.say(line("test", "00000000000000f0", why=0))
-    answer = await peer.read()
-    return peer if answer is not None and answer["why"] == 1 else None
-
-
-async def ready(placer: PlacerProcess, within_s: float = 60.0) -> Peer:
-    async with asyncio.timeout(within_s):
-        while (peer := await reached(placer)) is None:
-            assert placer.alive
-            await asyncio.sleep(0.01)
-    return peer
-
-
 @pytest.mark.parametrize("state", ["up", "silent", "slow", "down"])
 async def test_a_start_with_400_machines_is_ready_in_its_share_of_a_core(
     service: ListService, tmp_path: Path, state: str
--- /dev/null
+++ b/tests/test_platform_limits.py
@@ -0,0 +1,241 @@
+"""A placer's descriptors: whoever fills them, what it needs itself is to be had."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from placers import free_port, ready
+from waiting import until
+
+from kelpfront.lab.fleet.lists import ListService
+from kelpfront.lab.fleet.processes import PlacerProcess
+from kelpfront.lab.fleet.settings import config_json
+from kelpfront.lab.platform import Json, Machine, Peer, Script, accepts, event, line, member, offer
+from kelpfront.lab.process import raise_file_limit
+from kelpfront.platform import admission
+from kelpfront.platform.admission import ASKS, FILES, FILES_LATER, Shares
+
+IDLE_CLIENTS = 300
+HALF_A_LINE = b'{"op":"offer","ca'
+
+
+class Crowd:
+    """Clients that come and hold on: a third says nothing, one asks once, one stops in a line.
+
+    Whoever is closed comes again.
+    """
+
+    def __init__(self, port: int) -> None:
+        self._port, self.held = port, 0
+        self._jobs = [asyncio.create_task(self._hold(number)) for number in range(IDLE_CLIENTS)]
+
+    async def _hold(self, number: int) -> None:
+        said = (b"", line("test", f"{number:016x}", why=0), HALF_A_LINE)[number % 3]
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+                self.held += 1
+                try:
+                    writer.write(said)
+                    while await reader.read(4096):
+                        pass
+                finally:
+                    self.held -= 1
+                    writer.transport.abort()
+            await asyncio.sleep(0.05)
+
+    async def leave(self) -> None:
+        for job in self._jobs:
+            job.cancel()
+        await asyncio.gather(*self._jobs, return_exceptions=True)
+
+
+@dataclass
+class Scene:
+    """A placer with just so many descriptors, the list service, and more machines than it has descriptors."""
+
+    path: Path
+    service: ListService = field(default_factory=ListService)
+    machines: list[Machine] = field(default_factory=list)
+    placer: PlacerProcess | None = None
+    crowd: Crowd | None = None
+    most_open: int = 0
+
+    async def start(self, sockets: int, count: int, script: Script = accepts) -> PlacerProcess:
+        raise_file_limit()
+        self.machines = [Machine(f"s-{number:08x}", script) for number in range(count)]
+        for machine in self.machines:
+            await machine.start()
+        await self.service.start()
+        whole = event(1, *(member(machine.name, machine.address) for machine in self.machines), whole=True)
+        self.service.updates = [whole]
+        config = config_json(
+            0,
+            1,
+            f"127.0.0.1:{free_port()}",
+            f"127.0.0.1:{self.service.port}",
+            {"index": 1, "updates": [whole]},
+        )
+        config["limits"]["sockets"] = sockets
+        self.placer = PlacerProcess("p0", config, self.path, files=sockets)
+        await self.placer.start()
+        return self.placer
+
+    async def watch(self, stop: asyncio.Event) -> None:
+        """The most descriptors that the placer was seen with."""
+        assert self.placer is not None
+        while not stop.is_set():
+            with contextlib.suppress(OSError):
+                self.most_open = max(self.most_open, len(os.listdir(f"/proc/{self.placer.pid}/fd")))
+            await asyncio.sleep(0.002)
+
+    async def stop(self) -> None:
+        if self.crowd is not None:
+            await self.crowd.leave()
+        if self.placer is not None:
+            await self.placer.kill()
+        for machine in self.machines:
+            machine.die()
+        await self.service.stop()
+
+
+@pytest.fixture
+async def scene(tmp_path: Path) -> AsyncIterator[Scene]:
+    made = Scene(tmp_path)
+    yield made
+    await made.stop()
+
+
+async def is_served(placer: PlacerProcess, number: int) -> bool:
+    """Whether an owner that comes anew gets its task placed; it may be asked to come again."""
+    async with asyncio.timeout(20.0):
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                peer = Peer(*await asyncio.open_connection("127.0.0.1", placer.port))
+                try:
+                    number += 1
+                    peer.say(offer(f"{number:016x}", cls="easy"))
+                    answer = await peer.read()
+                finally:
+                    peer.cut()
+                if answer is not None and answer["op"] == "accept":
+                    return True
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize(("sockets", "outage"), [(64, "refuses"), (64, "silent"), (256, "refuses")])
+async def test_idle_clients_in_an_outage_of_the_list_leave_descriptors_for_what_a_placer_needs(
+    scene: Scene, sockets: int, outage: str
+) -> None:
+    """Guards against a placer that cannot ask for the list, dial, log or accept: all were taken by idle ones.
+
+    It has tasks on more machines than it has descriptors.
+    """
+    placer = await scene.start(sockets, count=sockets)
+    owner = await ready(placer)
+    stop = asyncio.Event()
+    watching = asyncio.create_task(scene.watch(stop))
+    if outage == "silent":
+        scene.service.rate = 0.001  # an answer each 1,000 s
+    else:
+        await scene.service.stop()
+    for number, machine in enumerate(scene.machines):
+        owner.say(offer(f"{0xF000 + number:016x}", extras=f"cores:1;memory:1;service:1;at:{machine.name}"))
+    scene.crowd = Crowd(placer.port)
+    await until(lambda: b"coordinator lost" in placer.log_path.read_bytes())
+    for number in range(20):
+        assert await is_served(placer, 0xA0000 + 0x100 * number)
+    await until(lambda: placer.log_path.read_bytes().count(b'"figures"') >= 2)
+    if outage == "silent":
+        await scene.service.stop()
+        scene.service = ListService(updates=scene.service.updates)
+        scene.service.port = int(placer.config["coordinator"].rpartition(":")[2])
+    answered = scene.service.count("answer")
+    scene.service.updates.append(event(2, member(scene.machines[0].name, scene.machines[0].address, "Gone")))
+    await scene.service.start()
+    await until(lambda: scene.service.count("answer") > answered)
+    assert await is_served(placer, 0xB0000)
+    stop.set()
+    await watching
+    assert placer.alive
+    log = placer.log_path.read_bytes()
+    assert b"Errno 24" not in log and b"out of system resource" not in log and b"Traceback" not in log
+    assert scene.most_open < sockets
+
+
+@given(
+    sockets=st.integers(64, 4096),
+    at_start=st.integers(0, 30),
+    steps=st.lists(st.sampled_from(["owner", "machine", "owner idles", "owner left", "machine closed"])),
+    crowd=st.integers(0, 4096),
+)
+def test_no_order_of_connections_takes_what_the_placer_itself_needs(
+    sockets: int, at_start: int, steps: list[str], crowd: int
+) -> None:
+    """Guards against shares that come to more than there is. Whoever holds on idles; others are in use."""
+    shares = Shares.of(sockets, at_start)
+    own = max(FILES, at_start + FILES_LATER) + ASKS
+    assert shares.both + 2 * shares.burst + own <= sockets or shares.both == 4
+    assert shares.owners_least >= 2 and shares.machines >= 2
+    idle, used, machines = min(crowd, shares.owners_beside(0)), 0, 0
+    for step in [*["machine"] * min(crowd, 60), *steps]:
+        match step:
+            case "owner":  # one that comes, and is in use from then on
+                while idle and idle + used >= shares.owners_beside(machines):
+                    idle -= 1
+                used += idle + used < shares.owners_beside(machines)
+            case "machine":
+                while idle and machines < shares.machines_most and idle + used + machines >= shares.both:
+                    idle -= 1
+                machines += machines < shares.machines or shares.machine_may_open(machines, idle + used)
+            case "owner idles" if used:
+                idle, used = idle + 1, used - 1
+            case "owner left" if idle:
+                idle -= 1
+            case "machine closed" if machines:
+                machines -= 1
+        assert idle + used + machines <= shares.both
+    assert shares.owners_beside(machines) >= min(admission.OWNERS_LEAST, shares.both // 2)
+
+
+def test_machines_past_their_most_or_beside_owners_in_use_get_no_descriptor() -> None:
+    shares = Shares.of(64)
+    assert shares.machine_may_open(shares.machines_most - 1, shares.owners_least)
+    assert not shares.machine_may_open(shares.machines_most, 0)
+    assert not shares.machine_may_open(shares.machines_most - 1, shares.owners_least + 1)
+
+
+async def test_tasks_on_more_machines_than_descriptors_are_all_heard_of(scene: Scene) -> None:
+    """Guards against a machine that is held for dead, as all descriptors are kept for others.
+
+    Each says that its task is over when it is asked whether it lives, and not before.
+    """
+
+    async def script(machine: Machine, peer: Peer, message: Json) -> None:
+        if message["op"] == "test":
+            peer.say(line("tested", message["call"], why=1))
+            peer.say(line("end", f"{0xF000 + int(machine.name[2:], 16):016x}", why=16))
+
+    placer = await scene.start(64, count=80, script=script)
+    owner = await ready(placer)
+    stop = asyncio.Event()
+    watching = asyncio.create_task(scene.watch(stop))
+    for number, machine in enumerate(scene.machines):
+        owner.say(offer(f"{0xF000 + number:016x}", extras=f"cores:1;memory:1;service:1;at:{machine.name}"))
+    ends: dict[str, int] = {}
+    while len(ends) < len(scene.machines):
+        message = await owner.read()
+        assert message is not None and message["op"] == "end"
+        ends[message["call"]] = message["why"]
+    stop.set()
+    await watching
+    assert set(ends.values()) == {16} and scene.most_open < 64
+    assert b"Errno 24" not in placer.log_path.read_bytes()
