Tasks handed over have a bound of their own, by the memory of the settings

Seen: of 22,000 tasks handed over on one connection 2,048 were taken, 19,952 passed over with a counter alone; with several connections 8,192 (core.py, _found, asks has_room, whose bounds CALLS_MOST and CALLS_OF_ONE are for what owners ask, who are told and may ask again). Nobody is told of a task passed over, and nobody owns it. And who had handed over 2,048 could ask for nothing more on that connection.

So a quarter of limits.memory_mb is for them, at 2 KiB each: 24,576 with 192 MB, 8,192 where the settings say nothing. What owners ask for keeps its bounds beside them. Description, key and idem of such a task are no longer kept: with them one could hold 16 KiB.

Three tests, seen to fail without the change; the bound's test also with the bound taken out, and with its count not taken back.

--- a/kelpfront/platform/config.py
+++ b/kelpfront/platform/config.py
@@ -10,6 +10,9 @@
 from kelpfront.interface import Settings
 from kelpfront.wire import settings_of
 
+MEMORY_MB = 64.0  # where the limits say nothing of it
+MEMORY_MOST_MB = 1 << 24
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used."""
@@ -30,6 +33,7 @@
     coordinator: Address
     seed: int
     sockets: int
+    memory_mb: float
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
@@ -62,6 +66,9 @@
     sockets = _table(raw, "limits").get("sockets", 1024)
     if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
         raise ConfigError(f"limits: sockets: a whole number of at least 64 is wanted, not {sockets!r}")
+    memory = _table(raw, "limits").get("memory_mb", MEMORY_MB)
+    if isinstance(memory, bool) or not isinstance(memory, int | float) or not 1 <= memory <= MEMORY_MOST_MB:
+        raise ConfigError(f"limits: memory_mb: a number from 1 to {MEMORY_MOST_MB} is wanted, not {memory!r}")
     seed = raw.get("seed", "0")
     try:
         number = int(str(seed), 16)
@@ -76,6 +83,7 @@
         coordinator=address_of(raw.get("coordinator"), "coordinator"),
         seed=number,
         sockets=sockets,
+        memory_mb=float(memory),
         known=_table(raw, "known"),
         settings=settings,
         zones=_names(info, "Zones"),
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -10,10 +10,11 @@
 import itertools
 from collections import Counter, deque
 from collections.abc import Sequence
+from dataclasses import replace
 
 from kelpfront import interface as api
 from kelpfront.platform import messages
-from kelpfront.platform.calls import Attempt, Call, CallBook, Machine
+from kelpfront.platform.calls import Attempt, Call, CallBook, Machine, found_most
 from kelpfront.platform.config import Config
 from kelpfront.platform.directory import Event
 from kelpfront.platform.fleet import Fleet
@@ -39,7 +40,7 @@
         self.fleet = Fleet()
         self.machines = self.fleet.machines
         self.counts: Counter[str] = Counter()
-        self.calls = CallBook(self.reached)
+        self.calls = CallBook(self.reached, found_most(config.memory_mb))
         self.timers = Timers()
         self.sessions = Sessions(lambda tell: self.out.append(tell), self.reached)
         self._numbers = itertools.count(1)
@@ -327,7 +328,7 @@
                 self._found(now, conn, session, asked)
             return True
         self.counts["set-ups"] += 1
-        if self.closing or not self.calls.has_room(len(session.calls)):
+        if self.closing or not self.calls.has_room(conn):
             self.sessions.reply(conn, messages.encode("end", asked.call, {}, Cause.CONGESTION))
             return True
         call = Call(
@@ -359,12 +360,12 @@
     def _found(self, now: float, conn: Conn, session: Session, asked: SetUp) -> None:
         """A task that a machine holds already is this placer's from now on; it is not answered."""
         self.counts["found"] += 1
-        if not self.calls.has_room(len(session.calls)):
+        if not self.calls.has_room_for_found():
             return
         machine = messages.machine_number(asked.at)
-        call = Call(
-            asked.call, next(self._numbers), conn, session.peer, asked, now, attempts=1, answered=True
-        )
+        asked = replace(asked, key="", idem="", desc="")  # only its machine was told these
+        task = next(self._numbers)
+        call = Call(asked.call, task, conn, session.peer, asked, now, attempts=1, answered=True, found=True)
         call.out = Attempt(call, 0, machine, now, now, now, written=True, placed=True)
         self._enter(session, call)
         cls, service = asked.cls, asked.service
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -732,6 +732,48 @@
     assert told == ["bound reached: calls of one connection", "bound reached: calls"]
 
 
+def test_22_000_tasks_may_be_handed_over_on_one_connection_and_asks_have_room_beside_them() -> None:
+    """Guards against tasks that run and that nobody owns, where most placers of a region are lost."""
+    stage = Stage()
+    for number in range(22_000):
+        extras = f"cores:0.01;memory:0.01;service:1;at:m-{1 + number % 2}"
+        stage.core.owner_says(stage.now, 1, decode(offer(f"{0xF0000 + number:016x}", extras=extras)))
+    assert len(stage.core.calls) == stage.core.counts["found"] == 22_000
+    assert not [name for name in stage.core.counts if name.startswith("bound")]
+    held = sum(len(machine.standing) for machine in stage.core.machines.values())
+    assert held == 22_000
+    stage.owner(offer())
+    assert stage.core.counts["bound: calls"] == stage.core.counts["bound: calls of one connection"] == 0
+    assert stage.core.calls.get(CALL) is not None
+
+
+def test_tasks_handed_over_are_bounded_by_the_memory_of_the_settings_and_one_that_ends_makes_room() -> None:
+    stage = Stage()
+    most = calls.found_most(3.0)
+    assert calls.found_most(192.0) > 22_000 and calls.found_most(1e-6) == 1 and most == 384
+    limits = platforms.raw_config(member("m-1"))["limits"] | {"memory_mb": 3.0}
+    its = config(member("m-1"), limits=limits)
+    stage.core = core = Core(its, Scheduler(its.settings, 7))
+    core.listed(NOW, *events_of(its.known, its))
+    core.sessions.open(NOW, 1, "127.0.0.5")
+    at = "cores:0.01;memory:0.01;service:1;at:m-1"
+    for number in range(most + 5):
+        stage.owner(offer(f"{0xF0000 + number:016x}", extras=at))
+    assert len(core.calls) == most and core.counts["bound: tasks handed over"] == 5
+    assert core.logs == ["bound reached: tasks handed over"]
+    stage.machine(machine_number("m-1"), "end", f"{0xF0000:016x}", why=16)
+    stage.owner(offer(f"{0xF0000 + most:016x}", extras=at))
+    assert len(core.calls) == most and core.counts["bound: tasks handed over"] == 5
+
+
+def test_nothing_is_kept_of_a_task_handed_over_that_only_its_machine_was_told() -> None:
+    """Guards against 22,000 descriptions of 16 KiB each."""
+    stage = Stage()
+    stage.owner(offer(extras="cores:1;memory:2;service:b4;at:m-1", desc="x" * 15_000))
+    found = stage.core.calls.get(CALL)
+    assert found is not None and found.set_up.desc == found.set_up.key == found.set_up.idem == ""
+
+
 def test_a_process_is_dead_after_refusals_in_a_row() -> None:
     reach = Reach()
     assert not reach.refused()
