--- a/kelpfront/platform/attempts.py
+++ b/kelpfront/platform/attempts.py
@@ -12,7 +12,7 @@
 
 from kelpfront import interface as api
 from kelpfront.platform import messages
-from kelpfront.platform.calls import Attempt, Call, CallBook, Machine
+from kelpfront.platform.calls import Attempt, Call, CallBook, Machine, found_most
 from kelpfront.platform.config import Config
 from kelpfront.platform.fleet import Fleet
 from kelpfront.platform.freshness import Freshness
@@ -38,7 +38,7 @@
         self.fleet = Fleet()
         self.machines = self.fleet.machines
         self.counts: Counter[str] = Counter()
-        self.calls = CallBook(self.reached)
+        self.calls = CallBook(self.reached, found_most(config.memory_mb))
         self.timers = Timers()
         self.sessions = Sessions(lambda tell: self.out.append(tell), self.reached)
         self._numbers = itertools.count(1)
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from kelpfront import interface as api
 from kelpfront.platform import messages
@@ -122,7 +123,7 @@
                 self._found(now, conn, session, asked)
             return True
         self.counts["set-ups"] += 1
-        if self.closing or not self.calls.has_room(len(session.calls)):
+        if self.closing or not self.calls.has_room(conn):
             self.sessions.reply(conn, messages.encode("end", asked.call, {}, Cause.CONGESTION))
             return True
         call = Call(
@@ -154,12 +155,12 @@
     def _found(self, now: float, conn: Conn, session: Session, asked: SetUp) -> None:
         """A task that a machine holds already is this placer's from now on; it is not answered."""
         self.counts["found"] += 1
-        if not self.calls.has_room(len(session.calls)):
+        if not self.calls.has_room_for_found():
             return
         machine = messages.machine_number(asked.at)
-        call = Call(
-            asked.call, next(self._numbers), conn, session.peer, asked, now, attempts=1, answered=True
-        )
+        asked = replace(asked, key="", idem="", desc="")  # only its machine was told these
+        task = next(self._numbers)
+        call = Call(asked.call, task, conn, session.peer, asked, now, attempts=1, answered=True, found=True)
         call.out = Attempt(call, 0, machine, now, now, now, written=True, placed=True)
         self._enter(session, call)
         cls, service = asked.cls, asked.service
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -8,7 +8,9 @@
 import math
 import os
 import random
+import resource
 import signal
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -25,7 +27,7 @@
 from kelpfront.platform.intents import Abandon, Forget, Listen, Offer, Say, Tell, Test
 from kelpfront.platform.machines import Budget, ConnectionPool
 from kelpfront.platform.owners import Front
-from kelpfront.platform.pacing import NEWS_WAIT_MS
+from kelpfront.platform.pacing import news_wait_ms
 from kelpfront.platform.timeouts import POLL_CONNECT_MS, REBIND_FOR_MS, REBIND_MS, Ending
 from kelpfront.platform.turns import Turns
 from kelpfront.rules import Scheduler
@@ -38,20 +40,29 @@
 
 
 class Service:
-    """One placer. `run` returns when it has been told to end and what it had taken is answered."""
+    """One placer. `run` returns when it has been told to end and what it had taken is answered.
 
-    def __init__(self, path: Path, config: Config, turns: Turns | None = None) -> None:
+    `began`: when the process did, in seconds of the monotonic clock; 0 where it is not known.
+    """
+
+    def __init__(self, path: Path, config: Config, turns: Turns | None = None, began: float = 0.0) -> None:
         self._path, self._config = path, config
+        self._began = began or time.monotonic()
         self._clock = CommonClock()
         self.core = Core(
             config,
             Scheduler(config.settings, config.seed),
             lambda conn, call: self._front.presence(conn, call),
         )
-        shares = admission.Shares.of(config.sockets)
-        self._budget = Budget(shares.machines)
+        self._shares = shares = admission.Shares.of(_files_most(config.sockets), _descriptors())
+        self._budget = Budget(shares.machines, self._one_more)
         self._front = Front(
-            self.core, self._clock.now, self.flush, lambda: shares.owners_beside(self._budget.held), turns
+            self.core,
+            self._clock.now,
+            self.flush,
+            lambda: shares.owners_beside(self._budget.held),
+            turns,
+            shares.burst,
         )
         self._pools: dict[MachineId, ConnectionPool] = {}
         self._follower = Follower(
@@ -100,8 +111,9 @@
 
     async def _start(self) -> None:
         """Lets owners in, once there is news of the list or too long was none."""
-        if not await self._follower.news(NEWS_WAIT_MS):
-            log.warning("no news of the list: served by the file's", waited_ms=NEWS_WAIT_MS)
+        wait_ms = news_wait_ms((time.monotonic() - self._began) * 1000.0)
+        if not await self._follower.news(wait_ms):
+            log.warning("no news of the list: served by the file's", waited_ms=round(wait_ms))
         give_up = asyncio.get_running_loop().time() + REBIND_FOR_MS / 1000.0
         while True:
             try:
@@ -190,6 +202,13 @@
             )
         call(pool)
 
+    def _one_more(self) -> bool:
+        """Whether one more connection to a machine has a descriptor; idle owners make room for it."""
+        shares, held = self._shares, self._budget.held
+        if held < shares.machines_most:
+            self._front.shrink(shares.both - held - 1)
+        return shares.machine_may_open(held, len(self._front))
+
     def _set_timer(self) -> None:
         due = self.core.timers.next()
         if self._timer is not None and due < self._timer_at:
@@ -254,6 +273,7 @@
                 pools_at = loop.time()
                 for pool in list(self._pools.values()):
                     pool.sweep()
+                self._budget.look()  # an owner may have left
 
     async def _figures(self) -> None:
         while True:
@@ -262,9 +282,23 @@
 
 
 def _memory_mb() -> float:
-    with open("/proc/self/statm") as file:
-        return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+    """-1 where it cannot be read."""
+    try:
+        with open("/proc/self/statm") as file:
+            return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6, 1)
+    except OSError:
+        return -1.0
+
+
+def _files_most(wanted: int) -> int:
+    """How many of so many descriptors the system allows this process."""
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return wanted if most == resource.RLIM_INFINITY else min(wanted, most)
 
 
 def _descriptors() -> int:
-    return len(os.listdir("/proc/self/fd"))
+    """Those that are open, without the one that this look takes; -1 where it cannot be read."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1
+    except OSError:
+        return -1
--- a/tests/test_platform_crossings_late.py
+++ b/tests/test_platform_crossings_late.py
@@ -16,10 +16,11 @@
 
 import platforms
 import pytest
+from placers import ready
 from platforms import Stage, ops
 from test_platform_core import NOW
 from test_platform_core import Stage as CoreStage
-from test_platform_fleet import TOLD_S, asks_on, ready
+from test_platform_fleet import TOLD_S, asks_on
 from test_platform_list import started, take
 from waiting import until
 
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -10,6 +10,7 @@
 
 import psutil
 import pytest
+from placers import reached, ready
 from waiting import until
 
 from kelpfront.lab.fleet.lists import ListService
@@ -30,25 +31,6 @@
     await its.stop()
 
 
-async def reached(placer: PlacerProcess) -> Peer | None:
-    """A connection to it that has passed a test; None where it does not let owners in yet."""
-    try:
-        peer = Peer(*await asyncio.open_connection("127.0.0.1", placer.port))
-    except OSError:
-        return None
-    peer.say(line("test", "00000000000000f0", why=0))
-    answer = await peer.read()
-    return peer if answer is not None and answer["why"] == 1 else None
-
-
-async def ready(placer: PlacerProcess, within_s: float = 60.0) -> Peer:
-    async with asyncio.timeout(within_s):
-        while (peer := await reached(placer)) is None:
-            assert placer.alive
-            await asyncio.sleep(0.01)
-    return peer
-
-
 @pytest.mark.parametrize("state", ["up", "silent", "slow", "down"])
 async def test_a_start_with_400_machines_is_ready_in_its_share_of_a_core(
     service: ListService, tmp_path: Path, state: str
--- a/tests/test_platform_kills.py
+++ b/tests/test_platform_kills.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 import pytest
+from placers import ready
 from platforms import Placer, Stage, ops, raw_config
-from test_platform_fleet import ready
 from waiting import until
 
 from kelpfront.lab.fleet.lists import ListService
--- a/tests/test_platform_pieces.py
+++ b/tests/test_platform_pieces.py
@@ -10,10 +10,10 @@
 from pathlib import Path
 
 import pytest
+from placers import ready
 from platforms import Stage, ops
 from test_platform_core import NOW
 from test_platform_core import Stage as CoreStage
-from test_platform_fleet import ready
 from waiting import until
 
 from kelpfront.lab.fleet.lists import ListService
