The reload's older list is also told by a coordinator that says how far it is itself

The scripted coordinator echoed the number it was asked for, so that the case of a move never met an older list. Seen to fail with the former fleet.py, as the case at the same address does.

--- a/tests/test_platform_crossings_late.py
+++ b/tests/test_platform_crossings_late.py
@@ -201,6 +201,8 @@
     speaks = new if moved else stage.coordinator
     if told == "an older list":
         speaks.events.append(whole)
+        if moved:  # it says how far it is, and not how far it was asked for
+            speaks.noise = [json.dumps({"index": 1, "updates": []}).encode()]
     elif told == "more at once":
         speaks.events += [whole, drain, event(3, member("m-3", phase="Terminating"))]
     reload_with(stage, speaks.address, drain)
