--- a/tests/test_platform_crossings_late.py
+++ b/tests/test_platform_crossings_late.py
@@ -11,10 +11,12 @@
 import os
 import signal
 import time
+from collections import deque
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import platforms
+import psutil
 import pytest
 from platforms import Stage, ops
 from test_platform_core import NOW
@@ -29,6 +31,7 @@
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.settings import config_json
 from kelpfront.lab.platform import CALL, Coordinator, Json, Machine, Peer, accepts, event, line, member, offer
+from kelpfront.platform import fleet
 from kelpfront.platform.intents import Listen, Offer, Test
 from kelpfront.platform.messages import machine_number
 
@@ -365,3 +368,91 @@
     stage.placed()
     stage.owner(line("test", "00000000000000f0", why=0))
     assert stage.ops == ["accept", "tested"] and stage.told[-1][1]["why"] == 1
+
+
+def held(core: object) -> int:
+    """How many entries all containers have that the project's own objects below `core` hold."""
+    entries, seen, left = 0, {id(core)}, [core]
+    while left:
+        here = left.pop()
+        inside: list[object] = []
+        if isinstance(here, dict):
+            inside = [*here.keys(), *here.values()]
+        elif isinstance(here, list | tuple | set | deque):
+            inside = list(here)
+        elif type(here).__module__.startswith("kelpfront"):
+            names = {*getattr(here, "__dict__", {})}
+            names |= {name for kind in type(here).__mro__ for name in getattr(kind, "__slots__", ())}
+            inside = [getattr(here, name) for name in names if hasattr(here, name)]
+        entries += len(inside) if isinstance(here, dict | list | set | deque) else 0
+        for one in inside:
+            if id(one) not in seen:
+                seen.add(id(one))
+                left.append(one)
+    return entries
+
+
+def test_a_placer_without_work_does_not_grow_as_its_machines_are_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Machines go and others come, each under a name of its own, thirty times over."""
+    monkeypatch.setattr(fleet, "GONE_KEPT", 10)
+    stage = Day(*(member(f"m-{number}") for number in range(20)))
+
+    def replaced(times: int) -> int:
+        for _ in range(times):
+            index = stage.core.fleet.index + 1
+            gone, fresh = f"m-{index - 2}", f"m-{index + 18}"
+            update = event(index, member(gone, phase="Gone"), member(fresh, up_since_ms=stage.now))
+            stage.events({"index": index, "updates": [update]})
+            stage.goes_on(1_000.0, step=1_000.0)
+        return held(stage.core)
+
+    before = replaced(100)
+    assert replaced(500) <= before * 1.05 and len(stage.core.machines) == 20
+    stage.placed()
+    assert stage.ops == ["accept"]
+
+
+async def test_processes_without_work_stay_as_they_are_and_serve(tmp_path: Path) -> None:
+    """Two, with nothing to do but to hear of 300 changes. Descriptors and memory are what they were."""
+    machine = Machine("m-1")
+    await machine.start()
+    whole = event(1, member("m-1", machine.address), whole=True)
+    service = ListService(updates=[whole])
+    await service.start()
+    placers = []
+    for number in range(2):
+        addresses = f"127.0.0.1:{free_port()}", f"127.0.0.1:{service.port}"
+        config = config_json(number, 2, *addresses, {"index": 1, "updates": [whole]})
+        placers.append(PlacerProcess(f"p{number}", config, tmp_path))
+
+    async def changes(first: int, last: int) -> None:
+        for index in range(first, last):
+            gone = member(f"x-{index - 1}", phase="Gone")
+            service.tell(event(index, gone, member(f"x-{index}", f"127.0.0.1:{9 + index % 2}")))
+            await asyncio.sleep(0.01)
+        asks = service.count("answer")
+        await until(lambda: service.count("answer") >= asks + 4)
+
+    try:
+        for placer in placers:
+            await placer.start()
+        for placer in placers:
+            (await ready(placer)).cut()
+        await changes(2, 102)
+        looks = [psutil.Process(placer.pid) for placer in placers]
+        before = [(look.num_fds(), look.memory_info().rss) for look in looks]
+        await changes(102, 302)
+        for look, (files, memory) in zip(looks, before, strict=True):
+            assert look.num_fds() <= files + 2 and look.memory_info().rss <= memory + (4 << 20)
+        for placer in placers:
+            owner = await ready(placer)
+            owner.say(offer(f"{placer.port:016x}"))
+            await ops(owner, "accept")
+            assert placer.alive and not placer.ends
+    finally:
+        for placer in placers:
+            await placer.kill()
+        await service.stop()
+        machine.die()
