Scale run: real placers measured among hollow workers, hollow placers and regions' lists

What one placer costs at 1,100 workers and 22,000 tasks was known from the core without sockets alone. kelpfront lab fleet scale starts real placers as processes, hundreds of workers in few processes with an address of their own for each placer, hollow placers (the program's own service, three in a process) and a list service in each region, joined by a link that delays and can be cut. ListService finds later updates by bisection and lets subclasses count and word what they answer.

--- a/kelpfront/cli/fleet.py
+++ b/kelpfront/cli/fleet.py
@@ -8,12 +8,17 @@
 
 import click
 
+from kelpfront.cli.scale import scale
+
 
 @click.group("fleet")
 def fleet() -> None:
     """Many placers as processes on loopback."""
 
 
+fleet.add_command(scale)
+
+
 @fleet.command("cold-start")
 @click.option("--placers", default=16, show_default=True, type=click.IntRange(1, 300))
 @click.option("--machines", default=40, show_default=True, type=click.IntRange(1, 5_000))
--- /dev/null
+++ b/kelpfront/cli/scale.py
@@ -0,0 +1,71 @@
+"""`kelpfront lab fleet scale`: a placer's cost at the sizes of a whole fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from kelpfront.cli.common import fail
+
+SWEEPS = ("machines", "placers", "events", "starts", "tasks", "peak", "failures", "held")
+
+
+@click.command("scale")
+@click.option("--machines", default=100, show_default=True, help="Hollow workers.")
+@click.option("--tasks", default=500, show_default=True, help="That stand, over the fleet.")
+@click.option("--placers", default=4, show_default=True)
+@click.option("--real", default=2, show_default=True, help="Of the placers: processes that are measured.")
+@click.option("--regions", default=2, show_default=True)
+@click.option("--zones", default=7, show_default=True)
+@click.option("--starts", default=0.0, show_default=True, help="A second, over the fleet; as many end.")
+@click.option("--events", default=0.0, show_default=True, help="Of the list, a second.")
+@click.option("--seconds", default=10.0, show_default=True, help="That are measured.")
+@click.option("--settle", default=6.0, show_default=True, help="Seconds under load before that.")
+@click.option("--delay-ms", default=20.0, show_default=True, help="One way between the regions' lists.")
+@click.option("--drains", default=3, show_default=True, help="Machines told to drain in that time.")
+@click.option("--restart/--no-restart", default=True, show_default=True, help="Kill a placer at the end.")
+@click.option("--fault", "faults", multiple=True, help="KIND@SECONDS+SECONDS; worker, rack, zone or link.")
+@click.option("--sweep", "sweeps", multiple=True, type=click.Choice([*SWEEPS, "all"]))
+@click.option("--into", type=click.Path(path_type=Path), default=Path("docs/capacity"), show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def scale(sweeps: tuple[str, ...], into: Path, as_json: bool, **options: Any) -> None:
+    """Measure real placers among hollow workers, hollow placers and a list service in each region.
+
+    With --sweep, the named series of runs is played and written to a folder, with lines fitted and a plot.
+    Exit code 1 if a process died or the sockets show a rule broken.
+    """
+    from kelpfront.lab.fleet.scale.shape import Fault, Shape, ShapeError
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    if sweeps:
+        from kelpfront.lab.fleet.scale.sweep import play_sweeps
+
+        chosen = SWEEPS if "all" in sweeps else tuple(dict.fromkeys(sweeps))
+        summary = asyncio.run(play_sweeps(chosen, into, say))
+        click.echo(json.dumps(summary, indent=None if as_json else 2))
+        if summary["breaks"]:
+            raise SystemExit(1)
+        return
+    from kelpfront.lab.fleet.scale.run import breaks, play
+    from kelpfront.lab.fleet.scale.table import table
+
+    try:
+        faults = tuple(Fault.of(text) for text in options.pop("faults"))
+        shape = Shape(**options, faults=faults)
+    except ShapeError as error:
+        fail(str(error))
+    figures = asyncio.run(play(shape, say))
+    found = breaks(figures)
+    click.echo(json.dumps(figures | {"breaks": found}) if as_json else table(figures))
+    for broken in found:
+        click.echo(broken, err=True)
+    if found:
+        raise SystemExit(1)
--- a/kelpfront/lab/fleet/lists.py
+++ b/kelpfront/lab/fleet/lists.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import time
+from bisect import bisect_right
 from collections import Counter, deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -52,6 +53,10 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._jobs: set[asyncio.Task[None]] = set()
 
+    @property
+    def open_connections(self) -> int:
+        return len(self._writers)
+
     def now(self) -> float:
         return time.monotonic() - self._began
 
@@ -92,7 +97,9 @@
                 target = head.split(b" ")[1].decode()
                 query = dict(part.split("=") for part in target.partition("?")[2].split("&"))
                 self._note(who, "ask")
-                await self._answer(writer, who, int(query["follow"]), float(query["wait_ms"]) / 1000.0)
+                follow = int(query["follow"])
+                self.on_ask(who, follow, len(head))
+                await self._answer(writer, who, follow, float(query["wait_ms"]) / 1000.0)
         except (asyncio.IncompleteReadError, OSError):
             self._note(who, "left")
         finally:
@@ -112,19 +119,36 @@
                 await asyncio.sleep(self._free_at - self.now())
             finally:
                 self._waiting -= 1
-        later = [update for update in self.updates if update["index"] > follow]
-        if not later:
+        if not self.later(follow):
             try:
                 async with asyncio.timeout(wait_s):
                     await self._news.wait()
             except TimeoutError:
                 pass
-            later = [update for update in self.updates if update["index"] > follow]
-        index = max([follow, *(update["index"] for update in later)])
-        body = json.dumps({"index": index, "updates": later}).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
+        later = self.later(follow)
+        index = later[-1]["index"] if later else follow
+        body = self.body(who, index, later)
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        writer.write(answer)
         await writer.drain()
         self._note(who, "answer")
+        self.on_answer(who, len(answer))
+
+    def later(self, follow: int) -> list[dict[str, Any]]:
+        """The updates after that number, in order; numbers grow."""
+        return self.updates[bisect_right(self.updates, follow, key=lambda update: int(update["index"])) :]
+
+    # ---- What a service of another kind may do otherwise ----------------------------------------------
+
+    def body(self, who: str, index: int, later: list[dict[str, Any]]) -> bytes:
+        """What `who` is answered."""
+        return json.dumps({"index": index, "updates": later}).encode()
+
+    def on_ask(self, who: str, follow: int, size: int) -> None:
+        """An ask of so many bytes has come."""
+
+    def on_answer(self, who: str, size: int) -> None:
+        """An answer of so many bytes has gone out."""
 
     # ---- What it came to ------------------------------------------------------------------------------
 
--- /dev/null
+++ b/kelpfront/lab/fleet/scale/plot.py
@@ -0,0 +1,47 @@
+"""The slopes as a picture: a column a size, a row a figure, points and the line through them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import matplotlib as mpl
+
+mpl.use("Agg")
+import matplotlib.pyplot as plt
+
+from kelpfront.lab.report.plots import BLUE, GREY, RED, png
+
+ROWS = (
+    ("placer", "cpu_share"),
+    ("placer", "bytes_s"),
+    ("placer", "rss_mb"),
+    ("workers", "tests_a_worker_s"),
+    ("list", "bytes_out_s"),
+)
+
+
+def plot(slopes: list[dict[str, Any]]) -> bytes:
+    """A PNG; a line in red is one on which the points do not lie."""
+    sizes = list(dict.fromkeys(one["size"] for one in slopes))
+    figure, panels = plt.subplots(
+        len(ROWS), len(sizes), figsize=(2.9 * len(sizes), 2.3 * len(ROWS)), squeeze=False
+    )
+    found = {(one["of"], one["figure"], one["size"]): one for one in slopes}
+    for row, (of, name) in enumerate(ROWS):
+        for column, size in enumerate(sizes):
+            panel = panels[row][column]
+            one = found.get((of, name, size))
+            if one is None:
+                panel.set_visible(False)
+                continue
+            xs, ys = zip(*one["points"], strict=True)
+            panel.plot(xs, ys, "o", color=BLUE, markersize=4)
+            ends = [min(xs), max(xs)]
+            line = [one["intercept"] + one["slope"] * x for x in ends]
+            panel.plot(ends, line, color=GREY if one["straight"] else RED, linewidth=1)
+            panel.set_ylim(bottom=0)
+            panel.set_xlabel(size, fontsize=8)
+            panel.tick_params(labelsize=7)
+            panel.set_title(f"{of}: {name}, {one['unit']}", fontsize=8)
+    figure.tight_layout()
+    return png(figure)
--- a/kelpfront/lab/fleet/settings.py
+++ b/kelpfront/lab/fleet/settings.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 CLASSES = (("easy", "free", "none"), ("keyed", "guarded", "zone"), ("once", "single_shot", "none"))
 ZONES = ("a", "b", "c", "d")
 
 
-def settings_json(number: int, placers: int) -> dict[str, Any]:
-    """The settings of one placer of many, in the platform's form."""
+def settings_json(
+    number: int, placers: int, zones: Sequence[str] = ZONES, cores: int = 22, memory: float = 40.0
+) -> dict[str, Any]:
+    """The settings of one placer of many, in the platform's form; a machine has so many cores and GB."""
     categories = [
         {
             "AimMs": 800.0,
@@ -34,9 +37,9 @@
             "FreeBy": "used",
             "ListsFree": True,
             "MeanMemory": 1.5,
-            "MemOfKind": [40.0],
+            "MemOfKind": [memory],
             "NeedsKind": [-1] * len(CLASSES),
-            "SizeCores": [22],
+            "SizeCores": [cores],
             "TogetherMax": [9] * len(CLASSES),
             "UsualCores": 1.1,
             "YoungLimit": 9.0,
@@ -54,18 +57,20 @@
         "Siblings": placers,
         "Stats": {"How": "answers", "Names": ["x0", "x1", "q"]},
         "TickMs": 1.0,
-        "Zone": number % len(ZONES),
-        "Zones": list(ZONES),
+        "Zone": number % len(zones),
+        "Zones": list(zones),
     }
 
 
-def config_json(number: int, placers: int, listen: str, coordinator: str, known: Any) -> dict[str, Any]:
+def config_json(
+    number: int, placers: int, listen: str, coordinator: str, known: Any, sockets: int = 256
+) -> dict[str, Any]:
     """The configuration file of one placer."""
     return {
         "name": f"p{number}",
         "listen": listen,
         "seed": f"{0x9E3779B9 * (number + 1) & 0xFFFFFFFF:08x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
         "coordinator": coordinator,
         "known": known,
         "settings": settings_json(number, placers),
