--- a/kelpfront/cli/scale.py
+++ b/kelpfront/cli/scale.py
@@ -12,7 +12,18 @@
 
 from kelpfront.cli.common import fail
 
-SWEEPS = ("machines", "placers", "events", "starts", "tasks", "peak", "failures", "held")
+SWEEPS = (
+    "held",
+    "machines",
+    "placers",
+    "events",
+    "starts",
+    "tasks",
+    "machines-events",
+    "machines-starts",
+    "peak",
+    "failures",
+)
 
 
 @click.command("scale")
