Scale run: tasks are handed over at a pace, so that tests are spread over their interval

Handed over at once, 2,750 tasks had their 1,100 machines tested in one burst every 5 s: a window of 15 s held two and a half or three of them (27.1 and 32.5 KB a second at the same sizes), and a burst costs less than the same tests apart: 0.017 cores at rest against 0.023. The later hand-over after a restart is still at once.

--- a/kelpfront/lab/fleet/scale/owners.py
+++ b/kelpfront/lab/fleet/scale/owners.py
@@ -32,6 +32,7 @@
 LEFT_MS = 2_000
 LATE_MS = 500  # past that, a set-up without an answer counts as unanswered
 CALLS_OF_ONE = 1_000  # of one connection
+AT_ONCE = 50  # tasks handed over in one go, where it is done at a pace
 READY_EVERY_S = 0.02
 READY_WITHIN_S = 60.0
 TEST_CALL = "00000000000000f0"
@@ -87,9 +88,15 @@
         _, link = await loop.create_connection(lambda: OwnerLink(self), self._host, self._port)
         return link
 
-    async def hand_over(self, at_once: int = CALLS_OF_ONE, pause_s: float = 0.0) -> None:
-        """Names all that stands, so many in one go, and waits until the placer has read it."""
+    async def hand_over(self, over_s: float = 0.0) -> None:
+        """Names all that stands, and waits until the placer has read it.
+
+        `over_s`: each machine is named for the first time at an even pace within so many seconds. Placers
+        test their machines in the order in which they met them: all at once, they would go on so.
+        """
         calls = list(self.standing.items())
+        began, first = time.monotonic(), min(len(calls), self._shape.machines)
+        at_once = AT_ONCE if over_s else CALLS_OF_ONE
         for start in range(0, len(calls), at_once):
             if start % CALLS_OF_ONE == 0:
                 link = await self._connect()
@@ -98,7 +105,9 @@
                 extras = self._extras(call) + f";at:{machine_name(machine)}"
                 link.say("offer at", self._offer(call, extras, 0))
             await link.test()
-            await asyncio.sleep(pause_s)
+            if over_s:
+                due = began + over_s * min(1.0, (start + at_once) / first)
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
 
     def close(self) -> None:
         for link in self._links:
--- a/kelpfront/lab/fleet/scale/run.py
+++ b/kelpfront/lab/fleet/scale/run.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -37,7 +37,7 @@
 WORKERS_OF_ONE = 400  # machines in one process
 WORKER_PROCESSES_MOST = 4
 HOLLOW_OF_ONE = 3  # placers in one process
-HOLLOW_AT_ONCE, HOLLOW_PAUSE_S = 250, 0.1  # handed over: one loop opens the connections of them all
+HAND_OVER_S = 5.0  # for what stands at the start; a multiple of it is a good time to measure
 SOCKETS = 4_096  # descriptors of a placer: room for a connection to each of some thousand machines
 SUBMIT_EVERY_S = 0.01
 DRAIN_LOOK_S = 3.0  # after the last drain was told, for it to be in force
@@ -109,12 +109,7 @@
         await asyncio.gather(*(placer.start() for placer in self.real))
         await asyncio.gather(*(child.start() for child in self._hollow))
         await asyncio.gather(*(owners.until_ready() for owners in self.owners))
-        hollows = self.owners[shape.real :]
-        groups = [hollows[start : start + HOLLOW_OF_ONE] for start in range(0, len(hollows), HOLLOW_OF_ONE)]
-        await asyncio.gather(
-            *(owners.hand_over() for owners in self.owners[: shape.real]),
-            *(_hand_over_in_turn(group) for group in groups),
-        )
+        await asyncio.gather(*(owners.hand_over(HAND_OVER_S) for owners in self.owners))
 
     async def _load(self) -> None:
         """Starts, ends and events at their rates, from now on."""
@@ -364,12 +359,6 @@
     return hello
 
 
-async def _hand_over_in_turn(owners: Sequence[Owners]) -> None:
-    """To hollow placers of one process, which has one loop for them all: real ones have one each."""
-    for one in owners:
-        await one.hand_over(HOLLOW_AT_ONCE, HOLLOW_PAUSE_S)
-
-
 async def play(shape: Shape, say: Callable[[str], None] = lambda text: None) -> Json:
     """Plays a shape in a folder of its own, which is gone afterwards."""
     with tempfile.TemporaryDirectory(prefix="kelpfront-scale-") as folder:
