Scale run: the pace of hand-overs fits few machines too; the tiny run's window holds a test

With twenty machines all were named in one go, and a window of 3 s could lie between two tests, which come every 5 s: the tiny run failed so once. All machines are named in twenty parts whatever their number, and the window is 6 s.

--- a/kelpfront/lab/fleet/scale/owners.py
+++ b/kelpfront/lab/fleet/scale/owners.py
@@ -32,7 +32,7 @@
 LEFT_MS = 2_000
 LATE_MS = 500  # past that, a set-up without an answer counts as unanswered
 CALLS_OF_ONE = 1_000  # of one connection
-AT_ONCE = 50  # tasks handed over in one go, where it is done at a pace
+PACES = 20  # parts in which all machines are named, where it is done at a pace
 READY_EVERY_S = 0.02
 READY_WITHIN_S = 60.0
 TEST_CALL = "00000000000000f0"
@@ -94,13 +94,14 @@
         `over_s`: each machine is named for the first time at an even pace within so many seconds. Placers
         test their machines in the order in which they met them: all at once, they would go on so.
         """
-        calls = list(self.standing.items())
+        calls, links = list(self.standing.items()), list[OwnerLink]()
         began, first = time.monotonic(), min(len(calls), self._shape.machines)
-        at_once = AT_ONCE if over_s else CALLS_OF_ONE
+        at_once = max(1, first // PACES) if over_s else CALLS_OF_ONE
         for start in range(0, len(calls), at_once):
-            if start % CALLS_OF_ONE == 0:
-                link = await self._connect()
-                self._links.append(link)
+            if start // CALLS_OF_ONE >= len(links):
+                links.append(await self._connect())
+                self._links.append(links[-1])
+            link = links[-1]
             for call, machine in calls[start : start + at_once]:
                 extras = self._extras(call) + f";at:{machine_name(machine)}"
                 link.say("offer at", self._offer(call, extras, 0))
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -31,7 +31,7 @@
 from kelpfront.lab.fleet.scale.traffic import Traffic, added, difference
 from kelpfront.platform.messages import Cause, Message
 
-TINY = Shape(machines=20, tasks=60, placers=3, starts=3, events=8, seconds=3, settle=2).command.split()[1:]
+TINY = Shape(machines=20, tasks=60, placers=3, starts=2, events=8, seconds=6, settle=2).command.split()[1:]
 
 
 # ---- Shapes and the script of failures ------------------------------------------------------------------
