Scale run: slopes as a table; runs that broke a rule are in no slope

A run at 2,200 machines had hollow placers that lost 2,459 tasks while the host was busy with another trial; what workers saw of it (15,562 connections in place of 17,600) bent the line.

--- a/kelpfront/cli/scale.py
+++ b/kelpfront/cli/scale.py
@@ -51,6 +51,7 @@
     Exit code 1 if a process died or the sockets show a rule broken.
     """
     from kelpfront.lab.fleet.scale.shape import Fault, Shape, ShapeError
+    from kelpfront.lab.fleet.scale.table import slope_table, table
 
     def say(text: str) -> None:
         if sys.stderr.isatty() or not as_json:
@@ -61,12 +62,14 @@
 
         chosen = SWEEPS if "all" in sweeps else tuple(dict.fromkeys(sweeps))
         summary = asyncio.run(play_sweeps(chosen, into, say))
-        click.echo(json.dumps(summary, indent=None if as_json else 2))
+        slopes = summary.pop("slopes")
+        click.echo(json.dumps(summary) if as_json else slope_table(slopes))
+        for broken in summary["breaks"]:
+            click.echo(broken, err=True)
         if summary["breaks"]:
             raise SystemExit(1)
         return
     from kelpfront.lab.fleet.scale.run import breaks, play
-    from kelpfront.lab.fleet.scale.table import table
 
     try:
         faults = tuple(Fault.of(text) for text in options.pop("faults"))
--- a/kelpfront/lab/fleet/scale/sweep.py
+++ b/kelpfront/lab/fleet/scale/sweep.py
@@ -76,10 +76,13 @@
 
 
 def values_of(points: Points, sweep: str, of: str, figure: str) -> list[tuple[float, float]]:
-    """(size, figure) of a series: of each real placer by itself, or of what the others saw."""
+    """(size, figure) of a series: of each real placer by itself, or of what the others saw.
+
+    Runs in which a rule was broken are left out: something else than the size was at work.
+    """
     found = []
     for point in points:
-        if point["sweep"] != sweep:
+        if point["sweep"] != sweep or point["breaks"]:
             continue
         size = float(point["sizes"][SIZES[sweep][0]])
         if of == "placer" and figure in RESTART_UNITS:
@@ -106,6 +109,7 @@
                 {"figure": figure, "of": of, "size": name, "sweep": sweep, "unit": unit, "at": at}
                 | fit(values).json()
                 | {
+                    "left_out": sum(bool(point["breaks"]) for point in mine),
                     "commit": sorted({point["commit"] for point in mine}),
                     "command": f"kelpfront lab fleet scale --sweep {sweep}",
                 }
@@ -163,4 +167,4 @@
             points.append(head | figures | {"breaks": broken})
             played += 1
             keep(into, points)
-    return {"played": played, "breaks": found}
+    return {"played": played, "breaks": found, "slopes": slopes_of(points)}
--- a/kelpfront/lab/fleet/scale/table.py
+++ b/kelpfront/lab/fleet/scale/table.py
@@ -51,5 +51,18 @@
     return "\n".join(lines)
 
 
+def slope_table(slopes: list[dict[str, Any]]) -> str:
+    """Lines through the points; `bent` says that the points do not lie on one."""
+    lines = [f"{'series':<16}{'figure':<30}{'intercept':>12}{'slope':>13}{'+-':>11}{'off most':>10}  unit"]
+    for one in slopes:
+        figure = f"{one['of']} {one['figure']}"
+        spread = "" if one["se"] is None else f"{one['se']:.2g}"
+        lines.append(
+            f"{one['sweep']:<16}{figure:<30}{one['intercept']:>12.5g}{one['slope']:>13.4g}{spread:>11}"
+            f"{one['residual_most']:>10.0%}  {one['unit']}{'' if one['straight'] else ', bent'}"
+        )
+    return "\n".join(lines)
+
+
 def _row(text: str, values: list[Any]) -> str:
     return f"{text:<20}" + "".join(f"{value!s:>12}" for value in values)
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -28,6 +28,7 @@
 from kelpfront.lab.fleet.scale.run import breaks
 from kelpfront.lab.fleet.scale.shape import BOUNDS, KINDS, Fault, Shape, ShapeError
 from kelpfront.lab.fleet.scale.sweep import OTHERS, SIZES, keep, shapes_of, slopes_of
+from kelpfront.lab.fleet.scale.table import slope_table
 from kelpfront.lab.fleet.scale.traffic import Traffic, added, difference
 from kelpfront.platform.messages import Cause, Message
 
@@ -269,12 +270,17 @@
         points.append(
             point(2, 20.0)
             | {"sweep": "machines", "commit": "abc", "real": [real, real], "link": {"bytes_s": 7.0}}
-            | {"restart": dict.fromkeys(names, 1.0), "sizes": Shape(machines=machines).sizes()}
+            | {"restart": dict.fromkeys(names, 1.0), "breaks": [], "sizes": Shape(machines=machines).sizes()}
         )
         points[-1]["workers"] |= {"tests_a_worker_s": 1.0, "connections_a_worker": 2.0}
         keep(tmp_path, points)
         assert json.loads((tmp_path / "runs.json").read_text())["points"] == json.loads(json.dumps(points))
-    slope = next(one for one in slopes_of(points) if one["figure"] == "cpu_share")
+    slopes = slopes_of(points)
+    slope = next(one for one in slopes if one["figure"] == "cpu_share")
     assert slope["slope"] == pytest.approx(1e-5) and slope["size"] == "machines" and len(slope["points"]) == 4
+    broken = points[1] | {"breaks": ["p0 died"], "real": [points[1]["real"][0] | {"cpu_share": 9.0}]}
+    assert slopes_of([*points, broken])[0] == slopes[0] | {"left_out": 1}
+    assert "machines        placer cpu_share" in slope_table(slopes) and "bent" not in slope_table(slopes)
+    assert "bent" in slope_table([slope | {"straight": False}])
     assert (tmp_path / "slopes.png").read_bytes().startswith(b"\x89PNG")
     assert whole(Shape(), [1])["endpoints"]["complete"]
