--- a/kelpfront/lab/fleet/scale/regions.py
+++ b/kelpfront/lab/fleet/scale/regions.py
@@ -108,6 +108,12 @@
                     await self._join(asker, asked)
         return [one.port for one in self.lists]
 
+    async def stop(self) -> None:
+        for follower in self._followers:
+            follower.stop()
+        await asyncio.gather(*(proxy.close() for proxy in self.proxies))
+        await asyncio.gather(*(one.stop() for one in self.lists))
+
     async def _join(self, asker: RegionList, asked: RegionList) -> None:
         proxy = FaultProxy((f"127.20.0.{RELAY + asker.region}", asked.port), asker.region)
         proxy.path.up.delay_ms = proxy.path.down.delay_ms = self._shape.delay_ms
@@ -192,6 +198,7 @@
     running = asyncio.create_task(regions.run())
     await obey(regions.act)
     running.cancel()
+    await regions.stop()
 
 
 if __name__ == "__main__":
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import subprocess
@@ -15,6 +16,7 @@
 from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
+from waiting import until
 
 from kelpfront.cli import main
 from kelpfront.cli.scale import SWEEPS
@@ -24,7 +26,7 @@
 from kelpfront.lab.fleet.scale.hollow import Workers
 from kelpfront.lab.fleet.scale.measure import of_placer
 from kelpfront.lab.fleet.scale.owners import Owners
-from kelpfront.lab.fleet.scale.regions import RegionList, whole
+from kelpfront.lab.fleet.scale.regions import RegionList, Regions, whole
 from kelpfront.lab.fleet.scale.run import breaks
 from kelpfront.lab.fleet.scale.shape import BOUNDS, KINDS, Fault, Shape, ShapeError
 from kelpfront.lab.fleet.scale.sweep import OTHERS, SIZES, keep, shapes_of, slopes_of
@@ -191,6 +193,28 @@
     assert [update["index"] for update in second.updates] == [1, 2, 3, 4]
 
 
+async def test_a_cut_link_holds_back_news_until_it_is_mended() -> None:
+    """Guards against a relay that is deaf after its connection was silent, or hears what it has heard."""
+    shape = Shape(machines=14, drains=0, delay_ms=1.0)
+    regions = Regions(shape, [5070])
+    await regions.start()
+    first, second = regions.lists
+    try:
+        first.change(shape.member(0, 5070))
+        await until(lambda: second.index == 2)
+        await regions.act({"do": "link", "cut": True})
+        first.change(shape.member(0, 5070, cores=3.0))
+        second.change(shape.member(6, 5070))
+        await asyncio.sleep(0.3)
+        assert (first.index, second.index) == (3, 3)
+        await regions.act({"do": "link", "cut": False})
+        await until(lambda: (first.index, second.index) == (4, 4))
+        told = [entry["spare"][0] for update in second.later(3) for entry in update["endpoints"]["members"]]
+        assert told == [3.0]
+    finally:
+        await regions.stop()
+
+
 def test_later_updates_are_those_after_a_number() -> None:
     service = ListService(updates=[{"index": index} for index in (1, 2, 5, 9)])
     assert [len(service.later(follow)) for follow in (0, 1, 3, 5, 9, 12)] == [4, 3, 2, 1, 0, 0]
