--- a/kelpfront/lab/fleet/scale/children.py
+++ b/kelpfront/lab/fleet/scale/children.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from kelpfront.lab.fleet.processes import bound_to_parent
+from kelpfront.lab.fleet.processes import bounded
 from kelpfront.lab.platform import Json
 
 FILES = 20_000
@@ -35,15 +35,11 @@
         pipe = asyncio.subprocess.PIPE if self._talks else asyncio.subprocess.DEVNULL
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                self._module,
-                *self._args,
+                *bounded(min(FILES, files_allowed()), 0, "-m", self._module, *self._args),
                 stdin=pipe,
                 stdout=pipe,
                 stderr=log,
                 limit=LINE_MOST,
-                preexec_fn=bound_to_parent(min(FILES, files_allowed()), 0),
             )
 
     @property
--- a/kelpfront/lab/fleet/scale/run.py
+++ b/kelpfront/lab/fleet/scale/run.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from kelpfront.lab.fleet.coldstart import free_port
+from kelpfront.lab.fleet.ports import free_port
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.scale import measure
 from kelpfront.lab.fleet.scale.children import Child
