--- a/kelpfront/platform/machines.py
+++ b/kelpfront/platform/machines.py
@@ -29,6 +29,7 @@
 IDLE_SHARE = 0.5  # of the time after which the machine closes idle connections
 READ_SIZE = 4 * LINE_MOST
 SWEEP_S = 2.0
+LOOKS = 32  # at pools that wait for a descriptor, in one go
 LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 UNSAID_MOST = 256  # words on standing tasks that wait for a connection
 CARRIED_KEPT = (
@@ -96,7 +97,8 @@
     def __init__(self, most: int, more: Callable[[], bool]) -> None:
         self.most, self.more, self.held = most, more, 0
         self._wires: dict[_Wire, ConnectionPool] = {}  # the longest unused first
-        self._without: dict[ConnectionPool, None] = {}  # that wait for a descriptor
+        self._without: dict[ConnectionPool, None] = {}  # that wait for a descriptor, to send
+        self._deaf: dict[ConnectionPool, None] = {}  # and that only listen
         self._looks = False
 
     def used(self, wire: _Wire, pool: ConnectionPool) -> None:
@@ -112,24 +114,30 @@
 
     def idle(self) -> None:
         """A connection carries nothing any more, or is closed: it may make room."""
-        if self._without and not self._looks:
+        if (self._without or self._deaf) and not self._looks:
             self._looks = True
             asyncio.get_running_loop().call_soon(self.look)
 
     def look(self) -> None:
-        """Those that wait longest for a descriptor have those that may be had."""
+        """Those that wait longest for a descriptor have those that may be had; first who has to send."""
         self._looks = False
-        for pool in list(self._without):
-            pool.try_again()
-            if pool in self._without:
-                return
+        for waiting in (self._without, self._deaf):
+            for pool in list(waiting)[:LOOKS]:
+                pool.try_again()
+                if pool in waiting:
+                    break
 
-    def wait(self, pool: ConnectionPool) -> None:
+    def wait(self, pool: ConnectionPool, to_send: bool) -> None:
         """None is to be had for it now."""
-        self._without[pool] = None
+        if to_send:
+            self._deaf.pop(pool, None)
+            self._without[pool] = None
+        elif pool not in self._without:
+            self._deaf[pool] = None
 
     def waits_no_more(self, pool: ConnectionPool) -> None:
         self._without.pop(pool, None)
+        self._deaf.pop(pool, None)
 
     def make_room(self) -> bool:
         """Closes the connection that was used longest ago, of those that nothing waits on."""
@@ -189,7 +197,7 @@
         else:  # it goes out on the first that comes up, or is given up at its time
             if not self._opening and not self._wires:
                 self._core.reached("descriptors")
-                self._budget.wait(self)
+                self._budget.wait(self, to_send=True)
             self._queue.append(intent)
 
     def _begin(self) -> None:
@@ -215,7 +223,8 @@
         elif self._queue and (self._budget.more() or self._budget.make_room()):
             self._begin()
             self._spawn(self._connect())
-        elif not self._queue and self._budget.more():
+        elif not self._queue:
+            self._budget.waits_no_more(self)  # what it had to send was given up meanwhile
             self.listen()
 
     def give_way(self, wire: _Wire) -> None:
@@ -292,7 +301,7 @@
         if not self._wires and self._listening is None and not self.closed:
             if self._budget.held >= self._budget.most and not self._budget.more():
                 self._core.reached("descriptors")
-                self._budget.wait(self)
+                self._budget.wait(self, to_send=False)
                 return
             self._listening = self._spawn(self._reopen())
 
@@ -301,7 +310,7 @@
         try:
             while not self._wires and not self.closed and (self._core.holds(self._ident) or self._unsaid):
                 if self._budget.held >= self._budget.most and not self._budget.more():
-                    self._budget.wait(self)
+                    self._budget.wait(self, to_send=False)
                     return
                 self._begin()
                 try:
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -5,9 +5,12 @@
 import asyncio
 import contextlib
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from hypothesis import given
@@ -22,6 +25,9 @@
 from kelpfront.lab.process import raise_file_limit
 from kelpfront.platform import admission
 from kelpfront.platform.admission import ASKS, FILES, FILES_LATER, Shares
+from kelpfront.platform.config import Address
+from kelpfront.platform.intents import Test
+from kelpfront.platform.machines import Budget, ConnectionPool
 
 IDLE_CLIENTS = 300
 HALF_A_LINE = b'{"op":"offer","ca'
@@ -213,6 +219,55 @@
     assert not shares.machine_may_open(shares.machines_most - 1, shares.owners_least + 1)
 
 
+async def test_who_has_to_send_has_the_next_descriptor_before_all_who_only_listen() -> None:
+    """Guards against a sign of life that waits behind a thousand machines that have nothing to say."""
+    order: list[str] = []
+
+    class Pool:
+        def __init__(self, name: str) -> None:
+            self.name = name
+
+        def try_again(self) -> None:
+            order.append(self.name)
+            if self.name != "listens":
+                budget.waits_no_more(cast(ConnectionPool, self))
+
+    budget = Budget(0, lambda: False)
+    pools = [cast(ConnectionPool, Pool(name)) for name in ("listens", "listens too", "sends", "sends later")]
+    for pool, to_send in zip(pools, (False, False, False, True), strict=True):
+        budget.wait(pool, to_send)
+    budget.wait(pools[2], to_send=True)
+    budget.wait(pools[2], to_send=False)  # it stays where it is
+    budget.held = 2
+    budget.back()
+    budget.back()
+    await until(lambda: order)
+    assert order == ["sends later", "sends", "listens"] and budget.held == 0
+
+
+async def test_a_machine_whose_word_was_given_up_holds_up_nobody_who_has_to_send() -> None:
+    core: Any = SimpleNamespace(holds=lambda ident: True, reached=lambda bound: None)
+    budget = Budget(0, lambda: False)
+    args = Address("127.0.0.1", 9), core, lambda: 0.0, lambda: None, budget, 1.0, 1.0
+    given_up, sends = ConnectionPool(1, *args), ConnectionPool(2, *args)
+    test = Test(2, "00000000000000a1", b"")
+    budget.wait(given_up, to_send=True)
+    sends.send(test)
+    tried: list[ConnectionPool] = []
+    for pool in (given_up, sends):
+        pool.try_again = partial(_tried, tried, pool, pool.try_again)  # type: ignore[method-assign]
+    budget.look()
+    assert tried[:2] == [given_up, sends]
+    tried.clear()
+    budget.look()
+    assert tried == [sends, given_up]
+
+
+def _tried(tried: list[ConnectionPool], pool: ConnectionPool, again: Callable[[], None]) -> None:
+    tried.append(pool)
+    again()
+
+
 async def test_tasks_on_more_machines_than_descriptors_are_all_heard_of(scene: Scene) -> None:
     """Guards against a machine that is held for dead, as all descriptors are kept for others.
 
