At a hand-over no more than 32 connections are opened at a time only to listen

Seen: a placer that ran 10 of each 40 ms and was handed 2,750 tasks on 1,100 machines had a loop that was late by 2.6 s once (12 lines of lateness in two lives), 1,337 descriptors and 3,236 probes within 5 s: each turn opened as many connections as its 256 lines named machines (machines.py, listen and _reopen), their connects ran into the time-out of 200 ms and were begun anew, and probes beside them. Owners that ask meanwhile wait for as long.

Now 32 are under way at a time, over all machines. A word that is to be sent does not wait for it.

--- a/kelpfront/platform/machines.py
+++ b/kelpfront/platform/machines.py
@@ -29,6 +29,7 @@
 IDLE_SHARE = 0.5  # of the time after which the machine closes idle connections
 READ_SIZE = 4 * LINE_MOST
 SWEEP_S = 2.0
+LISTENS = 32  # connections that are being opened only to listen, in all: others' turn comes between them
 LOOKS = 32  # at pools that wait for a descriptor, in one go
 LINGER_S = 1.0  # for what is still to be sent on a connection that is being closed
 UNSAID_MOST = 256  # words on standing tasks that wait for a connection
@@ -100,6 +101,7 @@
         self._without: dict[ConnectionPool, None] = {}  # that wait for a descriptor, to send
         self._deaf: dict[ConnectionPool, None] = {}  # and that only listen
         self._looks = False
+        self.listens = asyncio.Semaphore(LISTENS)
 
     def used(self, wire: _Wire, pool: ConnectionPool) -> None:
         self._wires.pop(wire, None)
@@ -309,20 +311,23 @@
         reach = Reach()
         try:
             while not self._wires and not self.closed and (self._core.holds(self._ident) or self._unsaid):
-                if self._budget.held >= self._budget.most and not self._budget.more():
-                    self._budget.wait(self, to_send=False)
-                    return
-                self._begin()
-                try:
-                    await self._open()
-                except ConnectionRefusedError:
-                    if reach.refused():
-                        self._unsaid.clear()
-                        self._core.process_gone(self._now(), self._ident)
-                        self._flush()
+                async with self._budget.listens:
+                    if self._wires or self.closed:
                         return
-                except (OSError, TimeoutError):
-                    reach.unanswered()
+                    if self._budget.held >= self._budget.most and not self._budget.more():
+                        self._budget.wait(self, to_send=False)
+                        return
+                    self._begin()
+                    try:
+                        await self._open()
+                    except ConnectionRefusedError:
+                        if reach.refused():
+                            self._unsaid.clear()
+                            self._core.process_gone(self._now(), self._ident)
+                            self._flush()
+                            return
+                    except (OSError, TimeoutError):
+                        reach.unanswered()
                 await asyncio.sleep(REOPEN_MS / 1000.0)
         finally:
             self._listening = None
--- a/tests/test_platform_ready.py
+++ b/tests/test_platform_ready.py
@@ -7,22 +7,23 @@
 import signal
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from placers import free_port, ready
-from platforms import raw_config
+from platforms import Stage, raw_config
 from waiting import until
 
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.restart import Restart, Start, marks, restart
 from kelpfront.lab.fleet.settings import config_json, whole_list
-from kelpfront.lab.platform import member
-from kelpfront.platform import __main__
+from kelpfront.lab.platform import Machine, member, offer
+from kelpfront.platform import __main__, machines
 from kelpfront.platform.config import Config, config_of
 from kelpfront.platform.coordinator import Follower
-from kelpfront.platform.pacing import NEWS_LEAST_MS, NEWS_WAIT_MS, news_wait_ms
+from kelpfront.platform.pacing import ASKS_OUT, NEWS_LEAST_MS, NEWS_WAIT_MS, news_wait_ms
 from kelpfront.platform.service import Service
 from kelpfront.platform.turns import Turns
 
@@ -111,6 +112,35 @@
     assert marks([float(n) for n in range(1, 11)]) == {"50%": 5.0, "90%": 9.0, "100%": 10.0}
 
 
+async def test_a_hand_over_opens_a_few_connections_at_a_time_to_listen(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a loop that opens a thousand in one turn: owners that ask meanwhile wait for seconds."""
+    stage = Stage(tmp_path)
+    try:
+        many = [Machine(f"m-{number}") for number in range(3 * machines.LISTENS)]
+        placer = await stage.start(*many, limits={"sockets": 1_024})
+        opened, under_way = asyncio.open_connection, [0, 0]
+
+        async def slow(*args: Any, **named: Any) -> Any:
+            under_way[0] += 1
+            under_way[1] = max(under_way)
+            try:
+                await asyncio.sleep(0.02)
+                return await opened(*args, **named)
+            finally:
+                under_way[0] -= 1
+
+        owner = await placer.owner()
+        monkeypatch.setattr(asyncio, "open_connection", slow)
+        for number, name in enumerate(stage.machines):
+            owner.say(offer(f"{0xF000 + number:016x}", extras=f"cores:1;memory:1;service:1;at:{name}"))
+        await until(lambda: all(machine.peers for machine in stage.machines.values()))
+    finally:
+        await stage.stop()
+    assert 1 < under_way[1] <= machines.LISTENS + ASKS_OUT + 1  # probes to those that wait may join
+
+
 async def test_restarted_placers_take_all_that_is_handed_over_anew() -> None:
     """Three of four placers, also with more tasks on one connection than its owner may ask for."""
     figures = await restart(Restart(placers=4, machines=60, tasks=10_000, killed=0.75, sockets=256))
