lab fleet leavers: how long after its owner left does an attempt still begin, at many placers

Owners come at a rate to real placers and leave by end, half close, close or reset, some while their placer is stopped; machines answer late, refuse, or let connections come up late. Attempts are taken by the kernel's stamp on the machine's socket, so that the rig's own delay does not count.

--- a/kelpfront/cli/fleet.py
+++ b/kelpfront/cli/fleet.py
@@ -52,3 +52,36 @@
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     if figures["died"] or None in (figures["ready_s"]["100%"], figures["told_s"]["100%"]):
         raise SystemExit(1)
+
+
+@fleet.command("leavers")
+@click.option("--placers", default=16, show_default=True, type=click.IntRange(1, 64))
+@click.option("--machines", default=60, show_default=True, type=click.IntRange(2, 300))
+@click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(1.0, 600.0))
+@click.option("--rate", default=20.0, show_default=True, help="Set-ups a second at each placer.")
+@click.option("--leave", default=0.6, show_default=True, type=click.FloatRange(0.0, 1.0))
+@click.option("--stops", default=2.0, show_default=True, help="Placers stopped for 0.4 s, a second, in all.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def leavers(
+    placers: int,
+    machines: int,
+    seconds: float,
+    rate: float,
+    leave: float,
+    stops: float,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Owners that leave before their answer: how long after that does an attempt still begin?
+
+    Exit code 1 if a placer died, or an attempt began more than 100 ms after its owner had left.
+    """
+    from kelpfront.lab.fleet.leavers import Leavers
+    from kelpfront.lab.fleet.leavers import leavers as play
+
+    shape = Leavers(placers, machines, seconds, rate, leave, stops, seed)
+    figures = asyncio.run(play(shape, lambda text: click.echo(text, err=True)))
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    if figures["died"] or figures["over_100_ms"]:
+        raise SystemExit(1)
