kelpfront lab fleet cold-ramp: real placers before cold machines, and the worst window

Machines come up cold under load, two of them twice, while placers are killed and started anew with another seed. Each machine counts the set-ups that arrive in any window of the told time while it is cold; printed are the worst of all, its excess in roots of the budget, and the share of the budget that was used.

--- a/kelpfront/cli/fleet.py
+++ b/kelpfront/cli/fleet.py
@@ -52,3 +52,47 @@
     click.echo(json.dumps(figures, indent=None if as_json else 2))
     if figures["died"] or None in (figures["ready_s"]["100%"], figures["told_s"]["100%"]):
         raise SystemExit(1)
+
+
+@fleet.command("cold-ramp")
+@click.option("--placers", default=24, show_default=True, type=click.IntRange(1, 60))
+@click.option("--machines", default=8, show_default=True, type=click.IntRange(1, 200))
+@click.option(
+    "--budget", default=9, show_default=True, type=click.IntRange(1, 1_000), help="Offers in a window."
+)
+@click.option("--load", default=5.0, show_default=True, help="Tasks a second that each placer is sent.")
+@click.option(
+    "--seconds", default=12.0, show_default=True, type=click.FloatRange(1, 120), help="Length of the ramp."
+)
+@click.option("--kill-every", default=0.5, show_default=True, help="Seconds between kills; 0: none.")
+@click.option("--restarts", default=2, show_default=True, help="Machines that come up cold once more.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def cold_ramp(
+    placers: int,
+    machines: int,
+    budget: int,
+    load: float,
+    seconds: float,
+    kill_every: float,
+    restarts: int,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Let machines come up cold under load and count what all placers together send to each in any window.
+
+    Exit code 1 if a placer died by itself, or a window saw more than N + 2 root N + 2 offers.
+    """
+    from kelpfront.lab.fleet.coldramp import ColdRamp
+    from kelpfront.lab.fleet.coldramp import cold_ramp as play
+
+    shape = ColdRamp(placers, machines, budget, load, seconds, kill_every, restarts, seed)
+
+    def say(text: str) -> None:
+        if sys.stderr.isatty() or not as_json:
+            click.echo(text, err=True)
+
+    figures = asyncio.run(play(shape, say))
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    if figures["died"] or figures["worst_window"] > figures["bound"]:
+        raise SystemExit(1)
