A set-up that lies in our kernel as its owner leaves, or for a machine's former life, stays unsent

Reason: (1) lab fleet leavers showed attempts over 100 ms after their owner's close, all at machines whose connections come up late: bytes written to a connection that only seems up lie in our kernel and come with a later try of its, the word that gives them up behind them (machines.py, abandon). (2) an offer that waits for its connection when its machine's younger start is told went out to the cold life though it was decided for the warm one (attempts.py, gate). Change: abandon throws away what the machine has not taken (TIOCOUTQ, SO_LINGER 0) where nothing else waits on that connection; gate does not send what was bound before the present life was told.

--- a/kelpfront/platform/attempts.py
+++ b/kelpfront/platform/attempts.py
@@ -143,7 +143,12 @@
         if not self._waits(now, attempt.call):
             return None
         machine = self.machines.get(attempt.machine)
-        if machine is None or machine.state is not api.MachineState.READY or now > attempt.latest:
+        if (
+            machine is None
+            or machine.state is not api.MachineState.READY
+            or now > attempt.latest
+            or attempt.bound_at < machine.anew_at  # decided for a former life, which was warm, maybe
+        ):
             self._close(now, attempt, api.End.NOT_SENT)
             return None
         attempt.written = True
--- a/kelpfront/platform/calls.py
+++ b/kelpfront/platform/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -58,6 +59,7 @@
     state: api.MachineState
     started_at: float
     standing: dict[str, Call] = field(default_factory=dict)
+    anew_at: float = -math.inf  # when this placer was told of its present life, where it knew of another
 
 
 def found_most(memory_mb: float) -> int:
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -264,6 +264,7 @@
                 for call in self.handovers.listed(machine.id):
                     self._stands(now, machine, call)
             for machine in change.restarted:
+                machine.anew_at = now
                 self.process_gone(now, machine.id)
             event = change.event
             kind = api.ListKind.FULL if event.whole else api.ListKind.CHANGES
--- a/kelpfront/platform/machines.py
+++ b/kelpfront/platform/machines.py
@@ -8,7 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
+import socket
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -61,6 +65,20 @@
         """Bytes that the machine's end has not taken."""
         return self.writer.transport.get_write_buffer_size()
 
+    @property
+    def unsent(self) -> bool:
+        """Whether bytes of ours lie in this end's kernel: its connection only seemed up, or is cut off."""
+        try:
+            held = fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError:  # no such question there
+            return False
+        return any(held)
+
+    def forget_unsent(self) -> None:
+        """What this end's kernel holds does not go out any more; the connection is to be ended at once."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     def takes(self, intent: Offer | Test) -> bool:
         """Whether it may go out here at once, and its answer be told from all others.
 
@@ -265,12 +283,17 @@
     def abandon(self, intent: Abandon) -> None:
         """Has an attempt given up. Its machine is told too where an answer has just crossed the decision.
 
-        A set-up whose answer is no longer waited for still runs there: with no word it would run twice.
+        A set-up whose answer is no longer waited for still runs there: with no word it would run twice. One
+        that has not come whole to the machine must not come later, when its owner has long left.
         """
         key = intent.call, intent.number
         for wire in list(self._wires):
             if key in wire.waiting:
                 del wire.waiting[key]
+                if not (wire.waiting or wire.writer.is_closing()) and wire.unsent:
+                    wire.forget_unsent()
+                    self._end(wire)
+                    return
                 if not wire.writer.is_closing():
                     wire.writer.write(intent.data)
                 wire.spent = wire.spent or intent.silent
--- a/tests/test_platform_core.py
+++ b/tests/test_platform_core.py
@@ -815,3 +815,21 @@
     assert closed(19.0, -1.0, 19.0 + admission.FIRST_S, line=admission.Line(20.0, 21.4))
     assert not closed(19.0, -1.0, 99.0, carries=True, line=begun)
     assert admission.FIRST_S + owners.SWEEP_S < 3.0
+
+
+def test_an_offer_that_was_decided_for_a_machines_former_life_is_not_sent_to_the_next() -> None:
+    """Guards against a cold machine that gets what a warm one was chosen for, beside its turns."""
+    stage = Stage(member("m-1"))
+    stage.owner(offer(left="3000"))
+    (out,) = [intent for intent in stage.done if isinstance(intent, Offer)]
+    stage.now += 10.0
+    stage.events({"index": 2, "updates": [event(2, member("m-1", up_since_ms=stage.now - 1.0))]})
+    assert stage.core.gate(stage.now, CALL, out.number) is None
+    assert stage.core.counts["not sent"] == 1
+    stage.take()
+    stage.owner(offer("00000000000000a2"))  # what is decided from now on knows of it
+    assert all(
+        i.call != "00000000000000a2" or stage.core.gate(stage.now, i.call, i.number)
+        for i in stage.done
+        if isinstance(i, Offer)
+    )
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -139,6 +139,49 @@
     assert machine.opened > 1 and placer.core.counts["unreachable"] == 1
 
 
+@pytest.mark.parametrize("how", ["closes", "withdraws"])
+async def test_a_set_up_that_still_lies_in_our_kernel_does_not_come_after_its_owner_has_left(
+    stage: Stage, how: str
+) -> None:
+    """As behind a connection that only seemed up, or was cut off: guards against an attempt seconds later."""
+    machine = Machine("m-1")
+    placer = await stage.start(machine, settings=once_first())
+    owner, other = await placer.owner(), await placer.owner()
+    owner.say(offer())
+    await ops(owner, "accept")
+    taken = machine.peers[0].reader._transport  # type: ignore[attr-defined]
+    taken.pause_reading()
+    (wire,) = wires(stage, "m-1")
+    filler = line("info", "00000000000000f1")
+    with end_of(wire.writer) as sock:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+        sent, idle = 0, 0
+        while idle < 10:  # the machine's end may make room for more a few times
+            try:
+                sent += sock.send((filler * 300)[sent % len(filler) :])
+                idle = 0
+            except BlockingIOError:
+                idle += 1
+                await asyncio.sleep(0.02)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 131_072)  # room for more, on this side alone
+        sock.send(filler[sent % len(filler) :])
+        other.say(offer(SECOND, cls="once"))
+        await until(lambda: placer.core.counts["attempts"] == 2)
+        assert not wire.stuck and wire.unsent
+    if how == "closes":
+        other.cut()
+    else:
+        other.say(line("end", SECOND, why=16))
+    await until(lambda: placer.core.counts["withdrawn"])
+    taken.resume_reading()
+    await until(lambda: machine.opened > 1)  # the task that stands there is listened to anew
+    third = await placer.owner()
+    third.say(offer("00000000000000a3"))
+    await ops(third, "accept")
+    assert SECOND not in {message["call"] for message in machine.offers()}
+
+
 @pytest.mark.parametrize("after_s", [0.005, 0.05])
 async def test_a_second_refusal_of_one_attempt_does_not_end_the_next_on_the_same_machine(
     stage: Stage, after_s: float
