Scale run: a placer at rest by the machines on which it has tasks

Bytes, processor time and descriptors bend over tasks and over placers, since a placer tests each machine once however many of its tasks stand there.

--- a/kelpfront/lab/fleet/scale/plot.py
+++ b/kelpfront/lab/fleet/scale/plot.py
@@ -39,8 +39,8 @@
             ends = [min(xs), max(xs)]
             line = [one["intercept"] + one["slope"] * x for x in ends]
             panel.plot(ends, line, color=GREY if one["straight"] else RED, linewidth=1)
-            panel.set_ylim(bottom=0)
-            panel.set_xlabel(sweep, fontsize=8)
+            panel.set_ylim(0, 1.15 * max(max(ys), 1e-9))
+            panel.set_xlabel(sweep if one["size"] in sweep else one["size"], fontsize=8)
             panel.tick_params(labelsize=7)
             panel.set_title(f"{of}: {name}, {one['unit']}", fontsize=8)
     figure.tight_layout()
--- a/kelpfront/lab/fleet/scale/sweep.py
+++ b/kelpfront/lab/fleet/scale/sweep.py
@@ -75,16 +75,22 @@
     return [Shape.of(base.sizes() | {name: size}) for size in sizes]
 
 
-def values_of(points: Points, sweep: str, of: str, figure: str) -> list[tuple[float, float]]:
-    """(size, figure) of a series: of each real placer by itself, or of what the others saw.
+def machines_a_placer(sizes: dict[str, Any]) -> int:
+    """On how many machines one placer has tasks: what it asks them and holds open goes by those."""
+    return min(int(sizes["machines"]), -(-int(sizes["tasks"]) // int(sizes["placers"])))
+
+
+def values_of(points: Points, name: str, of: str, figure: str) -> list[tuple[float, float]]:
+    """(size, figure) of points: of each real placer by itself, or of what the others saw.
 
     Runs in which a rule was broken are left out: something else than the size was at work.
     """
     found = []
     for point in points:
-        if point["sweep"] != sweep or point["breaks"]:
+        if point["breaks"]:
             continue
-        size = float(point["sizes"][SIZES[sweep][0]])
+        sizes = point["sizes"]
+        size = float(machines_a_placer(sizes) if name == "machines_a_placer" else sizes[name])
         if of == "placer" and figure in RESTART_UNITS:
             found.append((size, float(point["restart"][figure])))
         elif of == "placer":
@@ -95,26 +101,36 @@
 
 
 def slopes_of(points: Points) -> list[dict[str, Any]]:
-    """A line through each figure of each series that has been played."""
-    wanted = {("placer", name): unit for name, unit in (UNITS | RESTART_UNITS).items()} | SEEN_UNITS
+    """A line through each figure of each series that was played, and of a placer at rest by its machines."""
+    placer = {("placer", name): unit for name, unit in (UNITS | RESTART_UNITS).items()}
     slopes = []
     for sweep, (name, base, _) in SIZES.items():
-        for (of, figure), unit in wanted.items():
-            values = values_of(points, sweep, of, figure)
-            if len({size for size, _ in values}) < 2:
-                continue
-            mine = [point for point in points if point["sweep"] == sweep]
-            at = {other: value for other, value in base.sizes().items() if other not in (name, "faults")}
-            slopes.append(
-                {"figure": figure, "of": of, "size": name, "sweep": sweep, "unit": unit, "at": at}
-                | fit(values).json()
-                | {
-                    "left_out": sum(bool(point["breaks"]) for point in mine),
-                    "commit": sorted({point["commit"] for point in mine}),
-                    "command": f"kelpfront lab fleet scale --sweep {sweep}",
-                }
-            )
-    return slopes
+        mine = [point for point in points if point["sweep"] == sweep]
+        slopes += _lines(mine, sweep, name, base, placer | SEEN_UNITS)
+    rest = [point for point in points if point["sweep"] in ("machines", "tasks")]
+    return slopes + _lines(rest, "machines+tasks", "machines_a_placer", REST, placer)
+
+
+def _lines(
+    mine: Points, sweep: str, name: str, base: Shape, wanted: dict[tuple[str, str], str]
+) -> list[dict[str, Any]]:
+    lines = []
+    for (of, figure), unit in wanted.items():
+        values = values_of(mine, name, of, figure)
+        if len({size for size, _ in values}) < 2:
+            continue
+        changed = {name, "faults", *sweep.split("+")}
+        at = {other: value for other, value in base.sizes().items() if other not in changed}
+        lines.append(
+            {"figure": figure, "of": of, "size": name, "sweep": sweep, "unit": unit, "at": at}
+            | fit(values).json()
+            | {
+                "left_out": sum(bool(point["breaks"]) for point in mine),
+                "commit": sorted({point["commit"] for point in mine}),
+                "command": "kelpfront lab fleet scale --sweep " + sweep.replace("+", " --sweep "),
+            }
+        )
+    return lines
 
 
 def _commit() -> str:
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -302,6 +302,10 @@
     slopes = slopes_of(points)
     slope = next(one for one in slopes if one["figure"] == "cpu_share")
     assert slope["slope"] == pytest.approx(1e-5) and slope["size"] == "machines" and len(slope["points"]) == 4
+    by_machines = next(
+        one for one in slopes if one["size"] == "machines_a_placer" and one["figure"] == "rss_mb"
+    )
+    assert [size for size, _ in by_machines["points"]] == [100.0, 100.0, 125.0, 125.0]  # of 500 tasks on 4
     broken = points[1] | {"breaks": ["p0 died"], "real": [points[1]["real"][0] | {"cpu_share": 9.0}]}
     assert slopes_of([*points, broken])[0] == slopes[0] | {"left_out": 1}
     assert "machines        placer cpu_share" in slope_table(slopes) and "bent" not in slope_table(slopes)
