--- a/kelpfront/cli/common.py
+++ b/kelpfront/cli/common.py
@@ -64,6 +64,13 @@
     raise SystemExit(code)
 
 
+def need_packages() -> None:
+    try:
+        import hdrh  # noqa: F401
+    except ImportError:
+        fail("the laboratory needs more packages: pip install 'kelpfront[lab]'")
+
+
 def load_config(path: Path, overrides: Iterable[str] = ()) -> Config:
     try:
         return read_config(path, overrides)
--- a/kelpfront/cli/lab.py
+++ b/kelpfront/cli/lab.py
@@ -17,6 +17,7 @@
 import click
 
 from kelpfront.cli.common import console, fail, plain_table, set_option
+from kelpfront.cli.costs import COSTS
 from kelpfront.cli.experiments import day_text, experiment, report
 from kelpfront.cli.fleet import fleet
 from kelpfront.cli.load import load
@@ -31,17 +32,10 @@
 
 
 POLICIES = ("rules", "random", "least-loaded", "no-guardrails", "perfect")
-for command in (load, experiment, report, fleet):
+for command in (load, experiment, report, fleet, *COSTS):
     lab.add_command(command)
 
 
-def need_packages() -> None:
-    try:
-        import hdrh  # noqa: F401
-    except ImportError:
-        fail("the laboratory needs more packages: pip install 'kelpfront[lab]'")
-
-
 @lab.command("agent-restarts")
 @click.option("--seed", default=1, show_default=True, help="Of all chance.")
 @click.option("--restarts", default=50, show_default=True, help="Kills of an agent, over all agents.")
@@ -77,29 +71,6 @@
         raise SystemExit(1)
 
 
-@lab.command("agent-cost")
-@click.option("--tasks", default="0,100,500", show_default=True, help="Numbers of tasks that it holds.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def agent_cost(tasks: str, as_json: bool) -> None:
-    """Measure one node agent: starts a second, a durable start, its CPU and memory, its restart."""
-    from kelpfront.lab.agentcost import AgentCost
-    from kelpfront.logs import configure_logs
-
-    configure_logs("warning", "auto")
-    try:
-        counts = [int(text) for text in tasks.split(",")]
-    except ValueError:
-        fail(f"--tasks: {tasks!r}; whole numbers with commas between are expected")
-
-    def say(text: str) -> None:
-        if sys.stderr.isatty() or not as_json:
-            click.echo(text, err=True)
-
-    with tempfile.TemporaryDirectory(prefix="kelpfront-agent-cost-") as folder:
-        figures = asyncio.run(AgentCost(counts, Path(folder), say).run())
-    click.echo(json.dumps(figures, indent=None if as_json else 2))
-
-
 @lab.command("fronts")
 @click.option("--tasks", default=2000, show_default=True, help="Tasks of the mix, by each way.")
 @click.option("--both", default=200, show_default=True, help="Unsafe jobs by both protocols at once.")
@@ -161,129 +132,6 @@
         raise SystemExit(1)
 
 
-@lab.command("protocols")
-@click.option("--machines", default=81, show_default=True)
-@click.option("--seconds", default=3.0, show_default=True, help="Of one round.")
-@click.option("--rounds", default=5, show_default=True, help="Of each way, by turns.")
-@click.option("--at-a-time", default=32, show_default=True, help="Jobs without their answer.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def protocols(machines: int, seconds: float, rounds: int, at_a_time: int, as_json: bool) -> None:
-    """Measure what a job costs by REST, gRPC and a Bindings stream, and offers by HTTP and by streams."""
-    from kelpfront.lab.process import raise_file_limit
-    from kelpfront.lab.protocols import Protocols
-    from kelpfront.logs import configure_logs
-
-    configure_logs("error", "auto")
-    raise_file_limit()
-
-    def say(text: str) -> None:
-        if sys.stderr.isatty() or not as_json:
-            click.echo(text, err=True)
-
-    with tempfile.TemporaryDirectory(prefix="kelpfront-protocols-") as folder:
-        measuring = Protocols(machines, seconds, rounds, at_a_time, Path(folder), say)
-        figures = asyncio.run(measuring.run())
-    click.echo(json.dumps(figures, indent=None if as_json else 2))
-
-
-@click.command("bad-day")
-@click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
-@click.option("--placers", default=4, show_default=True)
-@click.option("--machines", default=24, show_default=True)
-@click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
-@click.option("--seconds", default=40.0, show_default=True, help="How long work comes in.")
-@click.option("--agents", default=0, show_default=True, help="Machines that are node agents, not stand-ins.")
-@click.option(
-    "--protocol",
-    type=click.Choice(["http", "grpc"]),
-    default="http",
-    show_default=True,
-    help="What stand-ins speak to placers.",
-)
-@click.option("--quiet-day", is_flag=True, help="Nothing goes wrong: for measuring.")
-@click.option("--wrong", default="", help="Plant a placer that is wrong on purpose, by its name.")
-@click.option("--model", "model_text", default="{}", help="How the stand-ins behave, as JSON.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-@click.option(
-    "--keep", type=click.Path(path_type=Path), help="Leave the recording and the logs in this folder."
-)
-def bad_day(
-    seed: int,
-    placers: int,
-    machines: int,
-    rate: float,
-    seconds: float,
-    agents: int,
-    protocol: str,
-    quiet_day: bool,
-    wrong: str,
-    model_text: str,
-    as_json: bool,
-    keep: Path | None,
-) -> None:
-    """Play a scripted bad day on loopback and judge it by the five rules.
-
-    Placers, stand-in machines and owners run as processes of their own. What goes over the sockets on the
-    machines' and owners' side is recorded, and judged from that alone. Exit code 1 if a rule was broken or a
-    task was left without its answer.
-    """
-    import msgspec
-
-    from kelpfront.lab.badday import play
-    from kelpfront.lab.script import DayShape
-    from kelpfront.lab.standins import FleetModel
-    from kelpfront.lab.wrongplacers import WRONG
-    from kelpfront.logs import configure_logs
-
-    need_packages()
-    configure_logs("warning", "auto")
-    if wrong and wrong not in WRONG:
-        fail(f"--wrong: {wrong!r} is not one of {', '.join(WRONG)}")
-    shape = DayShape(seed, placers, machines, rate, seconds)
-    interactive = sys.stderr.isatty() or not as_json
-
-    def say(text: str) -> None:
-        if interactive:
-            click.echo(text, err=True)
-
-    try:
-        model = msgspec.json.decode(model_text, type=FleetModel)
-    except msgspec.DecodeError as error:
-        fail(f"--model: {error}")
-    verdict, figures = asyncio.run(
-        play(shape, keep, model, quiet=quiet_day, say=say, agents=agents, protocol=protocol, wrong=wrong)
-    )
-    click.echo(json.dumps(figures, indent=None if as_json else 2))
-    for violation in verdict.violations[:20]:
-        click.echo(f"{violation.rule}: {violation.text}", err=True)
-    if verdict.violations or verdict.without_final or any(figures["exit_codes"]):
-        raise SystemExit(1)
-
-
-@click.command()
-@click.option("--keep", is_flag=True, help="Leave it up, and print its URL, until Ctrl-C.")
-def demo(keep: bool) -> None:
-    """Run a small cluster on loopback: a job is placed and followed."""
-    from kelpfront.api.meta import JOBS, MACHINES
-    from kelpfront.cli.common import console
-    from kelpfront.cli.jobs import objects_table
-    from kelpfront.client import Client
-    from kelpfront.lab.demo import run_demo
-
-    async def show(client: Client) -> None:
-        for resource in (JOBS, MACHINES):
-            objects, _ = await client.list_objects(resource)
-            click.echo()
-            console().print(objects_table(resource, objects, wide=resource.namespaced))
-
-    try:
-        placed = asyncio.run(run_demo(keep, click.echo, show))
-    except KeyboardInterrupt:
-        return
-    if not placed:
-        raise SystemExit(1)
-
-
 @lab.command("levels")
 @click.option(
     "--script", "scripts", multiple=True, help="A script's name, or demand-N; all scripts if absent."
@@ -483,53 +331,6 @@
     click.echo(json.dumps(schema(), indent=2))
 
 
-@lab.command("store-cost")
-@click.option("--groups", default="1,10,100", show_default=True, help="Records of one commit.")
-@click.option("--commits", default=200, show_default=True, help="Of one round.")
-@click.option("--rounds", default=5, show_default=True)
-@click.option(
-    "--folder", type=click.Path(path_type=Path, file_okay=False, exists=True), help="On which disk."
-)
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def store_cost(groups: str, commits: int, rounds: int, folder: Path | None, as_json: bool) -> None:
-    """Measure durable commits of kelpfront's own log beside SQLite (WAL, full sync) and LMDB."""
-    from kelpfront.lab.storecost import measure_store
-
-    need_packages()
-    if not re.fullmatch(r"[1-9][0-9]{0,3}(,[1-9][0-9]{0,3})*", groups):
-        fail(f"--groups: {groups!r} is not numbers from 1 to 9999 with commas between them")
-
-    def say(text: str) -> None:
-        if sys.stderr.isatty():
-            click.echo(text, err=True)
-
-    found = measure_store([int(group) for group in groups.split(",")], commits, rounds, folder, say)
-    click.echo(json.dumps({"results": found}, indent=None if as_json else 2))
-
-
-@lab.command("growth")
-@click.option("--sizes", default="10,81,300,1000,3000,5000", show_default=True, help="Machines.")
-@click.option("--tasks", default=40, show_default=True, help="In one round of one size.")
-@click.option("--rounds", default=5, show_default=True)
-@click.option("--plot", "plot_to", type=click.Path(path_type=Path), help="Draw both costs as PNG.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def growth(sizes: str, tasks: int, rounds: int, plot_to: Path | None, as_json: bool) -> None:
-    """Measure how the cost of a decision, and of machines that come up, grows with the fleet: no sockets."""
-    from kelpfront.lab.growth import measure_growth, plot_growth
-
-    if not re.fullmatch(r"[1-9][0-9]{0,4}(,[1-9][0-9]{0,4})*", sizes):
-        fail(f"--sizes: {sizes!r} is not numbers from 1 to 99999 with commas between them")
-
-    def say(text: str) -> None:
-        if sys.stderr.isatty() or not as_json:
-            click.echo(text, err=True)
-
-    results = measure_growth([int(size) for size in sizes.split(",")], tasks, rounds, say)
-    if plot_to is not None:
-        plot_growth(results, plot_to)
-    click.echo(json.dumps({"results": results}, indent=None if as_json else 2))
-
-
 @lab.command("bound")
 @click.argument("day")
 @click.option("--seed", default=1, show_default=True)
--- a/kelpfront/cli/main.py
+++ b/kelpfront/cli/main.py
@@ -25,9 +25,9 @@
     "undrain": "kelpfront.cli.jobs:undrain",
     "inventory": "kelpfront.cli.files:inventory",
     "config": "kelpfront.cli.files:config",
-    "bad-day": "kelpfront.cli.lab:bad_day",
+    "bad-day": "kelpfront.cli.rehearse:bad_day",
     "lab": "kelpfront.cli.lab:lab",
-    "demo": "kelpfront.cli.lab:demo",
+    "demo": "kelpfront.cli.rehearse:demo",
     "completion": "kelpfront.cli.files:completion",
 }
 
--- /dev/null
+++ b/kelpfront/cli/rehearse.py
@@ -0,0 +1,109 @@
+"""`kelpfront bad-day` and `kelpfront demo`: the whole program on loopback, once."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from kelpfront.cli.common import console, fail, need_packages
+
+
+@click.command("bad-day")
+@click.option("--seed", default=1, show_default=True, help="Of the script and of all chance.")
+@click.option("--placers", default=4, show_default=True)
+@click.option("--machines", default=24, show_default=True)
+@click.option("--rate", default=40.0, show_default=True, help="Tasks a second.")
+@click.option("--seconds", default=40.0, show_default=True, help="How long work comes in.")
+@click.option("--agents", default=0, show_default=True, help="Machines that are node agents, not stand-ins.")
+@click.option(
+    "--protocol",
+    type=click.Choice(["http", "grpc"]),
+    default="http",
+    show_default=True,
+    help="What stand-ins speak to placers.",
+)
+@click.option("--quiet-day", is_flag=True, help="Nothing goes wrong: for measuring.")
+@click.option("--wrong", default="", help="Plant a placer that is wrong on purpose, by its name.")
+@click.option("--model", "model_text", default="{}", help="How the stand-ins behave, as JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.option(
+    "--keep", type=click.Path(path_type=Path), help="Leave the recording and the logs in this folder."
+)
+def bad_day(
+    seed: int,
+    placers: int,
+    machines: int,
+    rate: float,
+    seconds: float,
+    agents: int,
+    protocol: str,
+    quiet_day: bool,
+    wrong: str,
+    model_text: str,
+    as_json: bool,
+    keep: Path | None,
+) -> None:
+    """Play a scripted bad day on loopback and judge it by the five rules.
+
+    Placers, stand-in machines and owners run as processes of their own. What goes over the sockets on the
+    machines' and owners' side is recorded, and judged from that alone. Exit code 1 if a rule was broken or a
+    task was left without its answer.
+    """
+    import msgspec
+
+    from kelpfront.lab.badday import play
+    from kelpfront.lab.script import DayShape
+    from kelpfront.lab.standins import FleetModel
+    from kelpfront.lab.wrongplacers import WRONG
+    from kelpfront.logs import configure_logs
+
+    need_packages()
+    configure_logs("warning", "auto")
+    if wrong and wrong not in WRONG:
+        fail(f"--wrong: {wrong!r} is not one of {', '.join(WRONG)}")
+    shape = DayShape(seed, placers, machines, rate, seconds)
+    interactive = sys.stderr.isatty() or not as_json
+
+    def say(text: str) -> None:
+        if interactive:
+            click.echo(text, err=True)
+
+    try:
+        model = msgspec.json.decode(model_text, type=FleetModel)
+    except msgspec.DecodeError as error:
+        fail(f"--model: {error}")
+    verdict, figures = asyncio.run(
+        play(shape, keep, model, quiet=quiet_day, say=say, agents=agents, protocol=protocol, wrong=wrong)
+    )
+    click.echo(json.dumps(figures, indent=None if as_json else 2))
+    for violation in verdict.violations[:20]:
+        click.echo(f"{violation.rule}: {violation.text}", err=True)
+    if verdict.violations or verdict.without_final or any(figures["exit_codes"]):
+        raise SystemExit(1)
+
+
+@click.command()
+@click.option("--keep", is_flag=True, help="Leave it up, and print its URL, until Ctrl-C.")
+def demo(keep: bool) -> None:
+    """Run a small cluster on loopback: a job is placed and followed."""
+    from kelpfront.api.meta import JOBS, MACHINES
+    from kelpfront.cli.jobs import objects_table
+    from kelpfront.client import Client
+    from kelpfront.lab.demo import run_demo
+
+    async def show(client: Client) -> None:
+        for resource in (JOBS, MACHINES):
+            objects, _ = await client.list_objects(resource)
+            click.echo()
+            console().print(objects_table(resource, objects, wide=resource.namespaced))
+
+    try:
+        placed = asyncio.run(run_demo(keep, click.echo, show))
+    except KeyboardInterrupt:
+        return
+    if not placed:
+        raise SystemExit(1)
