docs/CAPACITY.md: needs, margins and placers at the users' sizes, made from data and checked

Reason: nobody could say which of the users' sizes the program carries, by what, and how far it is from what it may spend. Change: docs/capacity/ holds sizes, states, figures (intercept + slope x size, where each comes from) and needs; lab/capacity.py sums them, lab/capacitypage.py makes the page's tables, kelpfront lab capacity prints the ledger, writes or checks. What no run has shown is marked, and makes its sums a least.

--- a/kelpfront/cli/costs.py
+++ b/kelpfront/cli/costs.py
@@ -138,4 +138,30 @@
     click.echo(json.dumps({"results": results}, indent=None if as_json else 2))
 
 
-COSTS = (agent_cost, protocols, store_cost, core_cost, growth)
+@click.command("capacity")
+@click.option("--write", is_flag=True, help="Make the page's tables anew.")
+@click.option("--check", is_flag=True, help="Exit code 1 if the page's tables are not those of the data.")
+@click.option("--docs", type=click.Path(path_type=Path, file_okay=False, exists=True), default=Path("docs"))
+def capacity(write: bool, check: bool, docs: Path) -> None:
+    """Work out what each role needs at the sizes to be carried, and print the ledger by margin."""
+    from kelpfront.lab.capacity import CapacityError
+    from kelpfront.lab.capacitypage import PAGE, filled, ledger_table, load, tables
+
+    try:
+        worked = load(docs / "capacity")
+        if not (write or check):
+            click.echo(ledger_table(worked), nl=False)
+            return
+        old = (docs / PAGE).read_text(encoding="utf-8")
+        new = filled(old, tables(worked))
+    except (CapacityError, OSError) as error:
+        fail(str(error))
+    if write:
+        (docs / PAGE).write_text(new, encoding="utf-8")
+    elif new != old:
+        fail(
+            f"{docs / PAGE}: its tables are not those of the data; kelpfront lab capacity --write makes them"
+        )
+
+
+COSTS = (agent_cost, protocols, store_cost, core_cost, growth, capacity)
