Capacity page: runs of whole processes beside the sums, waits after failures, hollow against real

Reason: a sum of slopes is right only where costs add up, and times to know come from runs of failures, not from slopes. Change: three tables read docs/capacity/runs.json where it is there: each run beside what the figures come to for its sizes, how long owners waited in each failure (the longest is a need in the ledger), and what list and workers saw of hollow and of real placers. Measured: no run is in docs/capacity/ yet; all three tables say so.

--- a/kelpfront/lab/capacity.py
+++ b/kelpfront/lab/capacity.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+LEAST_SIZES = 3  # of a sweep of whole processes: two always lie on a line
 STRAIGHT = 0.1  # of the range of a figure: a point farther from the line than that says that it is none
 NOT_MEASURED = "not measured"
 
@@ -99,6 +100,7 @@
     reading: str = "control"
     figures: list[str] = []  # a part of a role's quantity, by ids
     size: str = ""  # instead of both
+    known: str = ""  # or of a failure in the scale runs: how long the last owner waited, in seconds
     budget: str = ""  # a size
     missing: str = ""  # what there is not, and the issue that has it
     would: str = ""
@@ -165,6 +167,13 @@
     slopes: Sequence[Mapping[str, Any]] = ()
     messages: Mapping[str, int] = field(default_factory=dict)
     constants: Mapping[str, float] = field(default_factory=dict)
+    runs: Mapping[str, Any] = field(default_factory=dict)
+
+    @property
+    def points(self) -> Sequence[Mapping[str, Any]]:
+        """The runs of the scale tool, one size and load each."""
+        points: Sequence[Mapping[str, Any]] = self.runs.get("points", ())
+        return points
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,7 +262,9 @@
 
     def _scale(self, source: Source) -> Line | None:
         for one in self.evidence.slopes:
-            if one["figure"] == source.scale and one["of"] == source.of and one["size"] == source.sweep:
+            its = (one["figure"], one["of"], one["size"]) == (source.scale, source.of, source.sweep)
+            sizes = {size for size, _ in one["points"]}
+            if its and len(sizes) >= LEAST_SIZES:
                 at = {name: float(value) for name, value in one.get("at", {}).items() if _is_number(value)}
                 times = at["placers"] if source.own else 1.0
                 if source.of == "placer" and "placers" in at:
@@ -265,9 +276,9 @@
                     one["slope"] * source.factor * times,
                     None if error is None else error * source.factor * times,
                     bool(one.get("straight", True)),
-                    f"{len(one.get('points', ()))} points",
+                    f"{len(one['points'])} points at {', '.join(f'{size:,g}' for size in sorted(sizes))}",
                     one.get("command", ""),
-                    one.get("commit", ""),
+                    _commits(one.get("commit", "")),
                     at,
                     "scale",
                 )
@@ -325,6 +336,11 @@
         """A size in a state; CapacityError where it is none or leads back to itself."""
         return self._size(name, self._states[state].sets, ())
 
+    def beside(self, sets: Mapping[str, float]) -> Capacity:
+        """The same with some sizes given in all states."""
+        sizes = self.book.sizes | {name: Size(value=value) for name, value in sets.items()}
+        return Capacity(msgspec.structs.replace(self.book, sizes=sizes), self.evidence)
+
     def _size(self, name: str, sets: Mapping[str, Size], way: tuple[str, ...]) -> float:
         if name in way:
             raise CapacityError(f"sizes: {name} leads back to itself by {', '.join(way)}")
@@ -377,6 +393,14 @@
         """What a row of the ledger comes to; None where nothing speaks of it."""
         if need.size:
             return Sum(self.size(need.size, need.state), (), 1)
+        if need.known:
+            waits = [
+                float(failure["known_s"]["most"])
+                for point in self.evidence.points
+                for failure in point["failures"]
+                if failure["kind"] == need.known and failure["known_s"]
+            ]
+            return Sum(max(waits), (), 1) if waits else None
         if need.figures:
             return self._sum([one for one in self.book.figures if one.id in need.figures], need.state)
         return self.total(need.role, need.quantity, need.reading, need.state) if need.role else None
@@ -423,5 +447,9 @@
     return name if count == 1 else f"{count:g} {name}"
 
 
+def _commits(value: str | Sequence[str]) -> str:
+    return value if isinstance(value, str) else ", ".join(value)
+
+
 def _is_number(value: Any) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool)
--- a/kelpfront/lab/capacitypage.py
+++ b/kelpfront/lab/capacitypage.py
@@ -8,8 +8,7 @@
 import re
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
-
-import msgspec
+from typing import Any
 
 from kelpfront.lab.capacity import (
     NOT_MEASURED,
@@ -19,13 +18,14 @@
     Evidence,
     Line,
     Need,
-    Size,
     Sum,
     book_of,
 )
 from kelpfront.lab.corecost import message_bytes
 
-DATA, CORE, SLOPES, PAGE = "capacity.json", "core-cost.json", "slopes.json", "CAPACITY.md"
+DATA, CORE, SLOPES, RUNS = "capacity.json", "core-cost.json", "slopes.json", "runs.json"
+PAGE = "CAPACITY.md"
+NONE_YET = (f"*{NOT_MEASURED}*: `kelpfront lab fleet scale --sweep`",)
 FLEETS = (4, 6, 8, 12, 16, 24, 32)  # placers that the table of seats compares
 _TABLE = re.compile(r"(<!-- table: ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
@@ -37,11 +37,12 @@
     try:
         book = book_of((folder / DATA).read_bytes())
         core = json.loads((folder / CORE).read_bytes())
-        slopes = folder / SLOPES
+        slopes, runs = folder / SLOPES, folder / RUNS
         swept = json.loads(slopes.read_bytes())["slopes"] if slopes.exists() else []
+        played = json.loads(runs.read_bytes()) if runs.exists() else {}
     except (OSError, ValueError, KeyError) as error:
         raise CapacityError(f"{folder}: {error}") from None
-    return Capacity(book, Evidence(core, swept, message_bytes(), _constants(book)))
+    return Capacity(book, Evidence(core, swept, message_bytes(), _constants(book), played))
 
 
 def _constants(book: Book) -> dict[str, float]:
@@ -56,13 +57,6 @@
     return found
 
 
-def with_placers(capacity: Capacity, evidence: Evidence, placers: int) -> Capacity:
-    """The same with another number of placers."""
-    book = capacity.book
-    sizes = book.sizes | {"placers": Size(value=float(placers))}
-    return Capacity(msgspec.structs.replace(book, sizes=sizes), evidence)
-
-
 # ---- Words ------------------------------------------------------------------------------------------------
 
 
@@ -104,7 +98,7 @@
 
 
 def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
-    lines = [head, ["---"] * len(head), *rows]
+    lines = [head, ["---"] * len(head), *([*row, *[""] * (len(head) - len(row))] for row in rows)]
     return "".join(f"| {' | '.join(one)} |\n" for one in lines).replace("|  |", "| |")
 
 
@@ -194,11 +188,11 @@
     return table(["state", "what it is"], [[state.title, state.why] for state in capacity.book.states])
 
 
-def seats_table(capacity: Capacity, evidence: Evidence) -> str:
+def seats_table(capacity: Capacity) -> str:
     """What the number of placers changes."""
     rows = []
     for placers in FLEETS:
-        other = with_placers(capacity, evidence, placers)
+        other = capacity.beside({"placers": placers})
         survivors = other.size("survivors", "peak")
         held = other.size("tasks_of_survivors", "peak") if survivors > 0 else float("inf")
         most = other.size("calls_most", "peak")
@@ -262,9 +256,68 @@
     return table(head, rows) + told
 
 
+def _where(point: Mapping[str, Any]) -> str:
+    return f"`{point['command']}`, `{point['commit']}`"
+
+
+def runs_table(capacity: Capacity) -> str:
+    """Runs of whole processes beside what the page's figures add up to for their sizes."""
+    head = ["machines, tasks, placers", "starts, events a second"]
+    for quantity in ("bytes/s", "% of a core", "MB"):
+        head += [f"{quantity}, run", "sum"]
+    rows = []
+    for point in capacity.evidence.points:
+        sizes, mean = point["sizes"], point["mean"]
+        loads = {"machines": "machines", "tasks": "tasks", "placers": "placers", "starts": "peak_starts_s"}
+        sets = {ours: float(sizes[its]) for its, ours in loads.items()} | {"events_s": float(sizes["events"])}
+        sets["machines_holding"] = min(sets["machines"], sets["tasks"] / sets["placers"])
+        other = capacity.beside(sets)
+        row = [
+            ", ".join(number(sizes[name]) for name in ("machines", "tasks", "placers")),
+            f"{number(sizes['starts'])}, {number(sizes['events'])}",
+        ]
+        for quantity, value in (
+            ("bytes", mean["bytes_s"]),
+            ("processor", 100.0 * mean["cpu_share"]),
+            ("memory", mean["rss_mb"]),
+        ):
+            row += [number(value), cell(other.total("placer", quantity, "both", "peak"))]
+        rows.append([*row, _where(point)])
+    return table([*head, "from"], rows or [NONE_YET])
+
+
+def held_table(capacity: Capacity) -> str:
+    """Hollow placers against real ones: what list and workers saw of either."""
+    held = capacity.evidence.runs.get("held") or {"rows": []}
+    rows = []
+    for one in held["rows"]:
+        values = "; ".join(f"{real} real: {number(value)}" for real, value in one["by_real"].items())
+        differs = f"{100 * one['differs']:.1f} %"
+        rows.append([f"{one['of']}: {one['figure']}", values, differs, "yes" if one["held"] else "**no**"])
+    return table(["seen by", "with so many real placers", "differs by", "under a tenth"], rows or [NONE_YET])
+
+
+def known_table(capacity: Capacity) -> str:
+    """How long owners waited to be told of tasks that vanished, and a drain to be in force everywhere."""
+    rows = []
+    for point in capacity.evidence.points:
+        for one in point["failures"]:
+            known = [
+                number(one["known_s"][name]) if one["known_s"] else "" for name in ("p50", "p99", "most")
+            ]
+            what = f"{one['kind']}, silent for {number(one['lasts_s'])} s"
+            count = f"{number(one['machines'])} machines, {number(one['tasks'])} tasks"
+            rows.append([what, count, *known, number(one["untold"]), _where(point)])
+        drains = point["drains"]
+        if drains["told"] and point["sweep"] in ("peak", "failures"):
+            force = [number(drains["in_force_ms"][name] / 1000.0) for name in ("p50", "p99", "most")]
+            count = f"{drains['told']} drains, {number(point['sizes']['placers'])} placers"
+            rows.append(["a drain in force", count, *force, number(drains["untold"]), _where(point)])
+    return table(["what", "how many", "p50, s", "p99, s", "most, s", "untold", "from"], rows or [NONE_YET])
+
+
 def tables(capacity: Capacity) -> dict[str, str]:
     """By the name that the page has in its markers."""
-    evidence = capacity.evidence
     made: dict[str, Callable[[Capacity], str]] = {
         "ledger": ledger_table,
         "sizes": sizes_table,
@@ -272,9 +325,12 @@
         "worked-states": lambda one: worked_table(one, by_state=True),
         "states": states_table,
         "readings": readings_table,
+        "seats": seats_table,
+        "runs": runs_table,
+        "held": held_table,
+        "known": known_table,
     }
     found = {name: make(capacity) for name, make in made.items()}
-    found["seats"] = seats_table(capacity, evidence)
     for role in capacity.book.roles:
         found[role] = role_table(capacity, role)
         found[f"{role}-figures"] = figures_table(capacity, role)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,6 +5,7 @@
 import json
 import re
 import shutil
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -128,7 +129,7 @@
             told = row["from"]
             kind = told.partition(":")[0]
             if kind == "measured":
-                assert re.search(r"`kelpfront .*`, `[0-9a-f]{7,}`", told), row
+                assert re.search(r"`kelpfront .*`, `[0-9a-f]{7,}(, [0-9a-f]{7,})*`", told), row
             elif kind in ("guess", "published", "encoded", "*not measured*"):
                 assert len(told) > len(kind) + 2, row
             else:
@@ -167,6 +168,7 @@
 
 CORE = {"resident_mb": 30.0, "command": "core-cost", "commit": "abcdef0", "results": []}
 SLOPE = {"figure": "rss_mb", "of": "placer", "size": "machines", "intercept": 40.0, "slope": 2.0, "se": 0.1}
+SLOPE |= {"points": [[1, 42], [5, 50], [9, 58]], "commit": ["abcdef0"]}
 
 
 def test_what_is_not_measured_makes_a_sum_a_least() -> None:
@@ -196,6 +198,33 @@
     assert worked.lines["tasks"].error == pytest.approx(0.4)
 
 
+def test_a_sweep_of_two_sizes_is_no_slope() -> None:
+    worked = Capacity(small(), Evidence(CORE, [SLOPE | {"points": [[1, 42], [9, 58], [9, 59]]}]))
+    assert not worked.lines["main"].known
+
+
+def test_runs_stand_on_the_page_and_a_failures_longest_wait_is_its_need(capacity: Capacity) -> None:
+    waits = [{"p50": 5.0, "p99": 7.25, "most": 7.5}, {"p50": 6.0, "p99": 7.0, "most": 7.125}]
+    failures = [
+        {"kind": "zone", "machines": 157, "lasts_s": 16.0, "tasks": 3_140, "known_s": wait, "untold": 2}
+        for wait in waits
+    ]
+    sizes = {"machines": 1_100, "tasks": 22_000, "placers": 8, "starts": 66.0, "events": 132.0}
+    mean = {"bytes_s": 77_001.0, "cpu_share": 0.0625, "rss_mb": 51.25}
+    drains = {"told": 3, "in_force_ms": {"p50": 30.0, "p99": 80.0, "most": 81.0}, "untold": 0}
+    point = {"sweep": "failures", "command": "scale", "commit": "abcdef0", "sizes": sizes, "mean": mean}
+    row = {"of": "workers", "figure": "tests_s", "by_real": {"1": 1.0}, "differs": 0.25, "held": False}
+    runs = {"points": [point | {"failures": failures, "drains": drains}], "held": {"rows": [row]}}
+    made = tables(Capacity(capacity.book, replace(capacity.evidence, runs=runs)))
+    assert "| 1,100, 22,000, 8 | 66, 132 | 77,001 | " in made["runs"] and "| 6.25 | " in made["runs"]
+    assert "| zone, silent for 16 s | 157 machines, 3,140 tasks | 5 | 7.25 | 7.5 | 2 | " in made["known"]
+    assert "| a drain in force | 3 drains, 8 placers | 0.03 | 0.08 | 0.081 | 0 | " in made["known"]
+    assert (
+        "| a zone vanishes: until the last owner is told | a zone | 7.5 s | 8 s | 1.07 | " in made["ledger"]
+    )
+    assert "| 25.0 % | **no** |" in made["held"]
+
+
 def test_points_off_the_line_are_told() -> None:
     intercept, slope, error, straight = fit([(0, 1), (1, 3), (2, 5)])
     assert [intercept, slope, error] == pytest.approx([1, 2, 0]) and straight
