--- a/kelpfront/lab/corecost.py
+++ b/kelpfront/lab/corecost.py
@@ -32,6 +32,7 @@
 from kelpfront.platform.timeouts import POLL_WAIT_MS
 from kelpfront.rules import Scheduler
 
+SERVICES = 100  # that tasks are of, by turns; a start looks at each machine where its service runs
 PLACERS = 8  # the core is told of so many; it decides by it how tight the guardrails are
 REST_S, SETTLE_S, STEP_MS = 20, 10, 100.0  # of virtual time
 MIB = 2.0**20
@@ -74,7 +75,7 @@
 
     def _found(self, number: int) -> None:
         name = self.members[number % len(self.members)]["id"]
-        extras = f"{FIELDS['extras']};at:{name}"
+        extras = f"{_extras(number)};at:{name}"
         fields: dict[str, str | int | float] = {**FIELDS, "class": "easy", "extras": extras}
         message = Message("offer", f"{number:016x}", fields, desc=DESC)
         self.core.owner_says(self.now, self._conn(number), message)
@@ -106,7 +107,7 @@
         self._number += 1
         call = f"f{self._number:015x}"
         accept, end = standins.line("accept", call, desc=DESC), standins.line("end", call, why=16)
-        return call, standins.offer(call), accept, end
+        return call, standins.offer(call, extras=_extras(self._number)), accept, end
 
     def start(self, lines: tuple[str, bytes, bytes, bytes]) -> None:
         """A task from its set-up to its end."""
@@ -125,6 +126,10 @@
         self.core.out.clear()
 
 
+def _extras(number: int) -> str:
+    return f"cores:1;memory:2;service:{number % SERVICES + 1:016x}"
+
+
 def _body(event: dict[str, Any]) -> bytes:
     """An answer of the list service that tells of one event."""
     return json.dumps({"index": event["index"], "updates": [event]}).encode()
