--- a/kelpfront/lab/capacitypage.py
+++ b/kelpfront/lab/capacitypage.py
@@ -26,6 +26,7 @@
 DATA, CORE, SLOPES, RUNS = "capacity.json", "core-cost.json", "slopes.json", "runs.json"
 PAGE = "CAPACITY.md"
 NONE_YET = (f"*{NOT_MEASURED}*: `kelpfront lab fleet scale --sweep`",)
+EXACT = 1e-9  # of a slope: an error below it is of the arithmetic
 FLEETS = (4, 6, 8, 12, 16, 24, 32)  # placers that the table of seats compares
 _TABLE = re.compile(r"(<!-- table: ([a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
@@ -155,6 +156,8 @@
             continue
         line = capacity.lines[figure.id]
         spread = "" if line.error is None else f"± {number(line.error)}"
+        if line.error is not None and line.error < EXACT * abs(line.slope):
+            spread = "± 0"
         slope = f"{number(line.slope)} {spread}".strip() if figure.size else ""
         intercept = number(line.intercept)
         told = line_text(line)
@@ -265,6 +268,7 @@
     head = ["machines, tasks, placers", "starts, events a second"]
     for quantity in ("bytes/s", "% of a core", "MB"):
         head += [f"{quantity}, run", "sum"]
+    head += ["tests/s a worker, run"]
     rows = []
     for point in capacity.evidence.points:
         sizes, mean = point["sizes"], point["mean"]
@@ -282,7 +286,7 @@
             ("memory", mean["rss_mb"]),
         ):
             row += [number(value), cell(other.total("placer", quantity, "both", "peak"))]
-        rows.append([*row, _where(point)])
+        rows.append([*row, number(point["workers"]["tests_a_worker_s"]), _where(point)])
     return table([*head, "from"], rows or [NONE_YET])
 
 
