--- a/kelpfront/lab/capacity.py
+++ b/kelpfront/lab/capacity.py
@@ -17,6 +17,7 @@
 import msgspec
 
 LEAST_SIZES = 3  # of a sweep of whole processes: two always lie on a line
+ROUNDED = 1e-9  # of a size: a quotient that falls on the last point is not past it
 STRAIGHT = 0.1  # of the range of a figure: a point farther from the line than that says that it is none
 NOT_MEASURED = "not measured"
 
@@ -50,13 +51,17 @@
 class Source(msgspec.Struct, forbid_unknown_fields=True):
     """Where a figure may come from; the first source that is there counts.
 
-    `scale` and `core` are sweeps of lab fleet scale and lab core-cost, `messages` are bytes by the encoder,
-    `plain` is counted from the protocol itself (two messages for one test), `published` and `guess` say so.
+    `scale` and `core` are sweeps of lab fleet scale and lab core-cost. `runs` is a figure of single runs by a
+    placer's own tasks, with the sizes of `at`, in which each machine holds tasks of each placer: a sweep of
+    tasks goes through fleets in which most machines hold none. `messages` are bytes by the encoder, `plain`
+    is counted from the protocol itself (two messages for one test), `published` and `guess` say so.
     """
 
     scale: str = ""
     of: str = "placer"
     core: str = ""
+    runs: str = ""
+    at: dict[str, float] = {}
     sweep: str = ""
     own: bool = False  # the sweep's size is over the fleet, the figure's is that of one placer
     factor: float = 1.0
@@ -190,6 +195,7 @@
     commit: str = ""
     at: Mapping[str, float] = field(default_factory=dict)
     by: str = ""  # `scale` or `core`, of a measured one
+    reach: float = math.inf  # the largest size that was measured
 
     @property
     def known(self) -> bool:
@@ -198,11 +204,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Sum:
-    """A sum of figures and the ids of those that are not measured: with any, it is a least."""
+    """A sum of figures and the ids of those that are not measured: with any, it is a least.
+
+    `beyond`: a slope in it is drawn out past the sizes that were measured.
+    """
 
     value: float
     unknown: tuple[str, ...]
     known: int
+    beyond: bool = False
 
 
 def fit(points: Sequence[tuple[float, float]]) -> tuple[float, float, float | None, bool]:
@@ -244,6 +254,8 @@
     def _from(self, source: Source, figure: Figure) -> Line | None:
         if source.scale:
             return self._scale(source)
+        if source.runs:
+            return self._runs(source)
         if source.core or source.resident:
             return self._core(source)
         if source.messages or source.intercept_messages:
@@ -262,7 +274,7 @@
 
     def _scale(self, source: Source) -> Line | None:
         for one in self.evidence.slopes:
-            its = (one["figure"], one["of"], one["size"]) == (source.scale, source.of, source.sweep)
+            its = (one["figure"], one["of"], one["sweep"]) == (source.scale, source.of, source.sweep)
             sizes = {size for size, _ in one["points"]}
             if its and len(sizes) >= LEAST_SIZES:
                 at = {name: float(value) for name, value in one.get("at", {}).items() if _is_number(value)}
@@ -281,9 +293,33 @@
                     _commits(one.get("commit", "")),
                     at,
                     "scale",
+                    max(sizes) / times,
                 )
         return None
 
+    def _runs(self, source: Source) -> Line | None:
+        """By own tasks, of each real placer of the runs that are meant."""
+        points, commits = [], set()
+        for point in self.evidence.points:
+            sizes = point["sizes"]
+            own = sizes["tasks"] / sizes["placers"]
+            if own < sizes["machines"] or any(sizes[name] != value for name, value in source.at.items()):
+                continue
+            points += [(own, float(one[source.runs]) * source.factor) for one in point["real"]]
+            commits.add(point["commit"])
+        tasks = sorted({own for own, _ in points})
+        if len(tasks) < LEAST_SIZES:
+            return None
+        intercept, slope, error, straight = fit(points)
+        held = ", ".join(f"{value:,g} {name}" for name, value in source.at.items())
+        note = f"{len(points)} points at {', '.join(f'{own:,g}' for own in tasks)} own tasks, {held}"
+        commit = ", ".join(sorted(commits))
+        intercept = 0.0 if source.slope_only else intercept
+        command = "lab fleet scale --sweep"
+        return Line(
+            "measured", intercept, slope, error, straight, note, command, commit, {}, "scale", max(tasks)
+        )
+
     def _core(self, source: Source) -> Line | None:
         core = self.evidence.core
         if not core:
@@ -378,16 +414,18 @@
         return self._sum(its, state) if its else None
 
     def _sum(self, figures: Sequence[Figure], state: str) -> Sum:
-        value, unknown, known = 0.0, [], 0
+        value, unknown, known, beyond = 0.0, [], 0, False
         for figure in figures:
             if self.replaced(figure):
                 continue
             if self.lines[figure.id].known:
                 known += 1
                 value += self.value(figure, state)
+                reach = self.lines[figure.id].reach
+                beyond |= bool(figure.size) and self.size(figure.size, state) > reach * (1 + ROUNDED)
             elif not figure.size or self.size(figure.size, state):
                 unknown.append(figure.id)
-        return Sum(value, tuple(unknown), known)
+        return Sum(value, tuple(unknown), known, beyond)
 
     def need(self, need: Need) -> Sum | None:
         """What a row of the ledger comes to; None where nothing speaks of it."""
--- a/kelpfront/lab/capacitypage.py
+++ b/kelpfront/lab/capacitypage.py
@@ -71,18 +71,20 @@
 
 
 def cell(found: Sum | None) -> str:
-    """A sum; `+ ?` where a part of it is not measured."""
+    """A sum; `+ ?` where a part of it is not measured, `~` where a slope is drawn out past its sweep."""
     if found is None:
         return ""
     if not found.known:
         return f"*{NOT_MEASURED}*" if found.unknown else "0"
-    return number(found.value) + (" + ?" if found.unknown else "")
+    return ("~" if found.beyond else "") + number(found.value) + (" + ?" if found.unknown else "")
 
 
 def margin_text(need: Need, found: Sum | None, margin: float | None) -> str:
     if margin is None:
         return "*missing*" if need.missing else f"*{NOT_MEASURED}*"
     text = f"{margin:,.2f}" if margin < 100 else f"{margin:,.0f}"
+    if found is not None and found.beyond:
+        text = f"~{text}"
     return f"at most {text}" if found is not None and found.unknown else text
 
 
@@ -243,7 +245,7 @@
                     capacity.total("placer", quantity, reading, state),
                 )
                 assert found is not None
-                most = "at most " if found.unknown else ""
+                most = ("at most " if found.unknown else "") + ("~" if found.beyond else "")
                 row += [cell(found), f"{most}{allowed / found.value:.2f}"]
             rows.append([*row[:2], number(allowed), *row[2:]])
     jobs = [
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,13 +7,14 @@
 import shutil
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
 
 from kelpfront.cli.lab import lab
 from kelpfront.lab.capacity import Book, Capacity, CapacityError, Evidence, book_of, fit
-from kelpfront.lab.capacitypage import filled, load, tables
+from kelpfront.lab.capacitypage import cell, filled, load, tables
 from kelpfront.lab.corecost import message_bytes
 
 ROOT = Path(__file__).parent.parent
@@ -38,7 +39,7 @@
 
 def number(text: str) -> float | None:
     """The first number of a cell; None where it has none."""
-    found = re.match(r"(?:at most )?(-?[0-9][0-9,]*(?:\.[0-9]+)?(?:e-?[0-9]+)?)", text)
+    found = re.match(r"(?:at most )?~?(-?[0-9][0-9,]*(?:\.[0-9]+)?(?:e-?[0-9]+)?)", text)
     return float(found.group(1).replace(",", "")) if found else None
 
 
@@ -167,7 +168,14 @@
 
 
 CORE = {"resident_mb": 30.0, "command": "core-cost", "commit": "abcdef0", "results": []}
-SLOPE = {"figure": "rss_mb", "of": "placer", "size": "machines", "intercept": 40.0, "slope": 2.0, "se": 0.1}
+SLOPE: dict[str, Any] = {
+    "figure": "rss_mb",
+    "of": "placer",
+    "sweep": "machines",
+    "intercept": 40.0,
+    "slope": 2.0,
+    "se": 0.1,
+}
 SLOPE |= {"points": [[1, 42], [5, 50], [9, 58]], "commit": ["abcdef0"]}
 
 
@@ -190,7 +198,7 @@
     sizes = {"machines": {"value": 9}, "own_tasks": {"value": 50}}
     slopes = [
         SLOPE | {"at": {"tasks": 80, "placers": 4}},
-        SLOPE | {"size": "tasks", "intercept": 7.0, "slope": 0.5, "at": {"machines": 9, "placers": 4}},
+        SLOPE | {"sweep": "tasks", "intercept": 7.0, "slope": 0.5, "at": {"machines": 9, "placers": 4}},
     ]
     worked = Capacity(small(sizes=sizes, figures=[main, beside]), Evidence(CORE, slopes))
     found = worked.total("placer", "memory", "control", "peak")
@@ -198,6 +206,35 @@
     assert worked.lines["tasks"].error == pytest.approx(0.4)
 
 
+def test_a_slope_past_its_sweep_is_told() -> None:
+    worked = Capacity(small(), Evidence(CORE, [SLOPE]))
+    for machines, beyond in ((9, False), (10, True)):
+        found = worked.beside({"machines": machines}).total("placer", "memory", "control", "peak")
+        assert found is not None and found.beyond is beyond
+        assert cell(found) == ("~60" if beyond else "58")
+
+
+def test_own_tasks_count_by_runs_in_which_all_machines_hold_some_and_no_others() -> None:
+    own: list[object] = [{"runs": "rss_mb", "at": {"machines": 9, "events": 2}, "slope_only": True}]
+    book = small(figures=[figure("tasks", "machines", own)])
+
+    def run(tasks: float, placers: int, rss: float, events: int = 2) -> dict[str, object]:
+        sizes = {"machines": 9, "tasks": tasks, "placers": placers, "events": events}
+        return {"sizes": sizes, "real": [{"rss_mb": rss}, {"rss_mb": rss}], "commit": "abcdef0"}
+
+    points: list[object] = [
+        run(20, 2, 50),
+        run(40, 2, 60),
+        run(120, 4, 70),
+        run(8, 2, 10),
+        run(40, 2, 99, events=0),
+    ]
+    line = Capacity(book, Evidence(CORE, runs={"points": points})).lines["tasks"]
+    assert line.slope == pytest.approx(1.0) and (line.intercept, line.commit) == (0.0, "abcdef0")
+    assert line.note.startswith("6 points at 10, 20, 30 own tasks")
+    assert not Capacity(book, Evidence(CORE, runs={"points": points[1:]})).lines["tasks"].known
+
+
 def test_a_sweep_of_two_sizes_is_no_slope() -> None:
     worked = Capacity(small(), Evidence(CORE, [SLOPE | {"points": [[1, 42], [9, 58], [9, 59]]}]))
     assert not worked.lines["main"].known
