Capacity ledger takes a run at a state's very sizes where it came to more than the sum

Tests seen to fail with the least run, with control held against runs that have jobs, with a lower run, and with runs of other sizes.

--- a/kelpfront/cli/costs.py
+++ b/kelpfront/cli/costs.py
@@ -144,7 +144,7 @@
 @click.option("--docs", type=click.Path(path_type=Path, file_okay=False, exists=True), default=Path("docs"))
 def capacity(write: bool, check: bool, docs: Path) -> None:
     """Work out what each role needs at the sizes to be carried, and print the ledger by margin."""
-    from kelpfront.lab.capacity import CapacityError
+    from kelpfront.lab.capacitybook import CapacityError
     from kelpfront.lab.capacitypage import PAGE, filled, ledger_table, load, tables
 
     try:
--- a/kelpfront/lab/capacitypage.py
+++ b/kelpfront/lab/capacitypage.py
@@ -10,17 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from kelpfront.lab.capacity import (
-    NOT_MEASURED,
-    Book,
-    Capacity,
-    CapacityError,
-    Evidence,
-    Line,
-    Need,
-    Sum,
-    book_of,
-)
+from kelpfront.lab.capacity import NOT_MEASURED, RUN, Capacity, Evidence, Line, Sum
+from kelpfront.lab.capacitybook import Book, CapacityError, Need, book_of
 from kelpfront.lab.corecost import message_bytes
 
 DATA, CORE, SLOPES, RUNS = "capacity.json", "core-cost.json", "slopes.json", "runs.json"
@@ -115,6 +106,9 @@
     for need, found, margin in capacity.ledger():
         budget = f"{number(capacity.size(need.budget, need.state))} {need.unit}" if need.budget else ""
         told = f"{cell(found)} {need.unit}" if found is not None else f"*{NOT_MEASURED}*: {need.would}"
+        if found is not None and found.run:
+            added = capacity.total(need.role, need.quantity, need.reading, need.state)
+            told += f" (a run; the sum is {cell(added)})"
         mark = margin_text(need, found, margin)
         rows.append([need.what, titles[need.state], told, budget, mark, mechanism_text(need)])
     return table(["need", "state", "need over the sizes", "budget", "margin", "carried by"], rows)
@@ -282,12 +276,8 @@
             ", ".join(number(sizes[name]) for name in ("machines", "tasks", "placers")),
             f"{number(sizes['starts'])}, {number(sizes['events'])}",
         ]
-        for quantity, value in (
-            ("bytes", mean["bytes_s"]),
-            ("processor", 100.0 * mean["cpu_share"]),
-            ("memory", mean["rss_mb"]),
-        ):
-            row += [number(value), cell(other.total("placer", quantity, "both", "peak"))]
+        for quantity, (figure, factor) in RUN.items():
+            row += [number(factor * mean[figure]), cell(other.total("placer", quantity, "both", "peak"))]
         rows.append([*row, number(point["workers"]["tests_a_worker_s"]), _where(point)])
     return table([*head, "from"], rows or [NONE_YET])
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,7 +13,8 @@
 from click.testing import CliRunner
 
 from kelpfront.cli.lab import lab
-from kelpfront.lab.capacity import Book, Capacity, CapacityError, Evidence, book_of, fit
+from kelpfront.lab.capacity import Capacity, Evidence, fit
+from kelpfront.lab.capacitybook import Book, CapacityError, book_of
 from kelpfront.lab.capacitypage import cell, filled, load, tables
 from kelpfront.lab.corecost import message_bytes
 
@@ -264,6 +265,24 @@
     assert "| 25.0 % | **no** |" in made["held"]
 
 
+def test_a_run_at_the_very_sizes_of_a_state_is_the_need_where_it_is_more(capacity: Capacity) -> None:
+    sizes = {"machines": 1_100, "tasks": 22_000, "placers": 8, "starts": 66.0, "events": 132.0}
+    high, low = ({"bytes_s": share * 1e6, "cpu_share": share, "rss_mb": 1.0} for share in (0.5, 0.25))
+    points = [{"sizes": sizes, "mean": mean} for mean in (low, high)]
+    points += [{"sizes": sizes | {"placers": 16}, "mean": high | {"cpu_share": 0.75}}]
+    worked = Capacity(capacity.book, replace(capacity.evidence, runs={"points": points}))
+    found = worked.spent("placer", "processor", "both", "peak")
+    assert found is not None and (found.value, found.run) == (50.0, True)
+    for quantity, reading, state in (
+        ("processor", "control", "peak"),
+        ("memory", "both", "peak"),
+        ("processor", "both", "rest"),
+    ):
+        added = worked.total("placer", quantity, reading, state)
+        assert worked.spent("placer", quantity, reading, state) == added and added is not None
+        assert not added.run
+
+
 def test_points_off_the_line_are_told() -> None:
     intercept, slope, error, straight = fit([(0, 1), (1, 3), (2, 5)])
     assert [intercept, slope, error] == pytest.approx([1, 2, 0]) and straight
