Capacity page: tasks given up across a cut, and rules broken in a run

Reason: the run with the link cut gave up all that stood across it, which the ledger had no figure for; one run had false losses, which its row did not show. Tests seen to fail with waits for tasks, the least for the most, and breaks left out.

--- a/kelpfront/lab/capacity.py
+++ b/kelpfront/lab/capacity.py
@@ -311,14 +311,14 @@
         """What a row of the ledger comes to; None where nothing speaks of it."""
         if need.size:
             return Sum(self.size(need.size, need.state), (), 1)
-        if need.known:
-            waits = [
-                float(failure["known_s"]["most"])
-                for point in self.evidence.points
-                for failure in point["failures"]
-                if failure["kind"] == need.known and failure["known_s"]
-            ]
-            return Sum(max(waits), (), 1) if waits else None
+        kind = need.known or need.given_up
+        if kind:
+            failures = [one for point in self.evidence.points for one in point["failures"]]
+            mine = [one for one in failures if one["kind"] == kind and one["known_s"]]
+            most = max(
+                (float(one["known_s"]["most"] if need.known else one["tasks"]) for one in mine), default=0
+            )
+            return Sum(most, (), 1) if mine else None
         if need.figures:
             return self._sum([one for one in self.book.figures if one.id in need.figures], need.state)
         return self.spent(need.role, need.quantity, need.reading, need.state) if need.role else None
--- a/kelpfront/lab/capacitybook.py
+++ b/kelpfront/lab/capacitybook.py
@@ -86,6 +86,7 @@
     role: str = ""
     quantity: str = ""
     reading: str = "control"
+    given_up: str = ""  # or of a failure in the scale runs: the tasks that were given up
     figures: list[str] = []  # a part of a role's quantity, by ids
     size: str = ""  # instead of both
     known: str = ""  # or of a failure in the scale runs: how long the last owner waited, in seconds
--- a/kelpfront/lab/capacitypage.py
+++ b/kelpfront/lab/capacitypage.py
@@ -264,7 +264,7 @@
     head = ["machines, tasks, placers", "starts, events a second"]
     for quantity in ("bytes/s", "% of a core", "MB"):
         head += [f"{quantity}, run", "sum"]
-    head += ["tests/s a worker, run"]
+    head += ["tests/s a worker, run", "rules broken"]
     rows = []
     for point in capacity.evidence.points:
         sizes, mean = point["sizes"], point["mean"]
@@ -278,7 +278,8 @@
         ]
         for quantity, (figure, factor) in RUN.items():
             row += [number(factor * mean[figure]), cell(other.total("placer", quantity, "both", "peak"))]
-        rows.append([*row, number(point["workers"]["tests_a_worker_s"]), _where(point)])
+        broken = ", ".join(point["breaks"]) or "none"
+        rows.append([*row, number(point["workers"]["tests_a_worker_s"]), broken, _where(point)])
     return table([*head, "from"], rows or [NONE_YET])
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -252,18 +252,24 @@
     mean = {"bytes_s": 77_001.0, "cpu_share": 0.0625, "rss_mb": 51.25}
     drains = {"told": 3, "in_force_ms": {"p50": 30.0, "p99": 80.0, "most": 81.0}, "untold": 0}
     point = {"sweep": "failures", "command": "scale", "commit": "abcdef0", "sizes": sizes, "mean": mean}
-    point["workers"] = {"tests_a_worker_s": 1.5}
+    point |= {"workers": {"tests_a_worker_s": 1.5}, "breaks": ["double: 1"]}
     row = {"of": "workers", "figure": "tests_s", "by_real": {"1": 1.0}, "differs": 0.25, "held": False}
     runs = {"points": [point | {"failures": failures, "drains": drains}], "held": {"rows": [row]}}
     made = tables(Capacity(capacity.book, replace(capacity.evidence, runs=runs)))
     assert "| 1,100, 22,000, 8 | 66, 132 | 77,001 | " in made["runs"] and "| 6.25 | " in made["runs"]
-    assert "| 1.5 | `scale`, `abcdef0` |" in made["runs"]
+    assert "| 1.5 | double: 1 | `scale`, `abcdef0` |" in made["runs"]
     assert "| zone, silent for 16 s | 157 machines, 3,140 tasks | 5 | 7.25 | 7.5 | 2 | " in made["known"]
     assert "| a drain in force | 3 drains, 8 placers | 0.03 | 0.08 | 0.081 | 0 | " in made["known"]
     assert (
         "| a zone vanishes: until the last owner is told | a zone | 7.5 s | 8 s | 1.07 | " in made["ledger"]
     )
     assert "| 25.0 % | **no** |" in made["held"]
+    failures[0] |= {"kind": "link", "tasks": 9_219}
+    made = tables(Capacity(capacity.book, replace(capacity.evidence, runs=runs)))
+    assert (
+        "| the regions lose each other: tasks given up that run on there | regions cut | 9,219 tasks | | "
+        in (made["ledger"])
+    )
 
 
 def test_a_run_at_the_very_sizes_of_a_state_is_the_need_where_it_is_more(capacity: Capacity) -> None:
