--- a/kelpfront/lab/capacity.py
+++ b/kelpfront/lab/capacity.py
@@ -143,14 +143,17 @@
                 times = at["placers"] if source.own else 1.0
                 if source.of == "placer" and "placers" in at:
                     at = {name: value / at["placers"] if name in OWN else value for name, value in at.items()}
-                error = one.get("se")
+                error, left_out = one.get("se"), one.get("left_out", 0)
+                note = f"{len(one['points'])} points at {', '.join(f'{size:,g}' for size in sorted(sizes))}"
+                if left_out:
+                    note += f", {left_out} runs that broke a rule left out"
                 return Line(
                     "measured",
                     0.0 if source.slope_only else one["intercept"] * source.factor,
                     one["slope"] * source.factor * times,
                     None if error is None else error * source.factor * times,
                     bool(one.get("straight", True)),
-                    f"{len(one['points'])} points at {', '.join(f'{size:,g}' for size in sorted(sizes))}",
+                    note,
                     one.get("command", ""),
                     _commits(one.get("commit", "")),
                     at,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -187,8 +187,10 @@
 
 
 def test_a_sweep_of_whole_processes_takes_the_place_of_the_core() -> None:
-    found = Capacity(small(), Evidence(CORE, [SLOPE])).total("placer", "memory", "control", "peak")
+    worked = Capacity(small(), Evidence(CORE, [SLOPE | {"left_out": 2}]))
+    found = worked.total("placer", "memory", "control", "peak")
     assert found is not None and (found.value, found.unknown) == (40.0 + 2.0 * 9, ())
+    assert worked.lines["main"].note == "3 points at 1, 5, 9, 2 runs that broke a rule left out"
 
 
 def test_a_slope_by_the_fleets_size_is_one_by_a_placers_part_and_counts_from_where_the_main_sweep_stood() -> (
