--- a/kelpfront/lab/capacitypage.py
+++ b/kelpfront/lab/capacitypage.py
@@ -236,7 +236,7 @@
             for state in ("rest", "peak"):
                 allowed, found = (
                     capacity.size(budget, state),
-                    capacity.total("placer", quantity, reading, state),
+                    capacity.spent("placer", quantity, reading, state),
                 )
                 assert found is not None
                 most = ("at most " if found.unknown else "") + ("~" if found.beyond else "")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,7 +15,7 @@
 from kelpfront.cli.lab import lab
 from kelpfront.lab.capacity import Capacity, Evidence, fit
 from kelpfront.lab.capacitybook import Book, CapacityError, book_of
-from kelpfront.lab.capacitypage import cell, filled, load, tables
+from kelpfront.lab.capacitypage import cell, filled, load, readings_table, tables
 from kelpfront.lab.corecost import message_bytes
 from kelpfront.platform.calls import CALLS_MOST
 
@@ -282,6 +282,8 @@
     worked = Capacity(capacity.book, replace(capacity.evidence, runs={"points": points}))
     found = worked.spent("placer", "processor", "both", "peak")
     assert found is not None and (found.value, found.run) == (50.0, True)
+    assert "| processor, with the work on jobs | % of a core | 1.5 | " in readings_table(worked)
+    assert "| 50 | 0.03 |" in readings_table(worked)
     for quantity, reading, state in (
         ("processor", "control", "peak"),
         ("memory", "both", "peak"),
