--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -270,9 +270,10 @@
     assert not list(tmp_path.iterdir())
 
 
-def test_nothing_is_left_behind_when_the_run_is_killed() -> None:
+def test_nothing_is_left_behind_when_the_run_is_killed(tmp_path: Path) -> None:
     """Guards against workers, lists and placers that live on without the run that they are for."""
-    with subprocess.Popen([sys.executable, "-m", "kelpfront", *TINY], stderr=subprocess.DEVNULL) as run:
+    command, env = [sys.executable, "-m", "kelpfront", *TINY], os.environ | {"TMPDIR": str(tmp_path)}
+    with subprocess.Popen(command, stderr=subprocess.DEVNULL, env=env) as run:
         try:
             deadline = time.monotonic() + 60.0
             while len(started := psutil.Process(run.pid).children()) < 5:  # two, one, one of each of the rest
@@ -281,7 +282,10 @@
         finally:
             run.kill()
     _, left = psutil.wait_procs(started, timeout=30.0)
-    assert not [one for one in left if one.is_running() and one.status() != psutil.STATUS_ZOMBIE]
+    left = [one for one in left if one.is_running() and one.status() != psutil.STATUS_ZOMBIE]
+    for one in left:  # those that a failure of this test has shown
+        one.kill()
+    assert not left
 
 
 def test_a_broken_off_series_keeps_what_was_played(tmp_path: Path) -> None:
