Watchers' digests: a pure core that dates news so that none is newer than the truth

Reason: each placer asks each worker every 5 s, 57 KB a second with headers at 1,100 workers against 4 KB (docs/design/liveness.md). Nothing sends such events in service yet.

--- a/kelpfront/interface.py
+++ b/kelpfront/interface.py
@@ -310,6 +310,18 @@
     """Whether nothing came from the machine: one that answers that it failed a probe is there."""
 
 
+@dataclass(frozen=True, slots=True)
+class MachinesSeen:
+    """Others had answers from the machines to what they sent at `at` or later; nothing came to this placer.
+
+    `ask`: they are to be asked all the same.
+    """
+
+    machines: tuple[MachineId, ...]
+    at: float
+    ask: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ListSilent:
     """Nothing is heard of the list: what it withholds, a drain maybe, counts as told from now on."""
@@ -326,6 +338,7 @@
     | TaskWithdrawn
     | TimerFired
     | ProbeAnswered
+    | MachinesSeen
 )
 
 
--- a/kelpfront/platform/calls.py
+++ b/kelpfront/platform/calls.py
@@ -53,6 +53,7 @@
     address: Address
     state: api.MachineState
     started_at: float
+    zone: int = -1
     standing: dict[str, Call] = field(default_factory=dict)
 
 
--- a/kelpfront/platform/fleet.py
+++ b/kelpfront/platform/fleet.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self.machines: dict[api.MachineId, Machine] = {}
         self.index = 0
+        self.generation = 0  # counts changes of which machines there are
         self.missed = False  # an event was not told, and would never be asked for again
 
     @property
@@ -67,7 +68,7 @@
             view = entry.machine
             machine = self.machines.get(view.id)
             if machine is None:
-                machine = Machine(view.id, entry.name, entry.address, view.state, view.started_at)
+                machine = Machine(view.id, entry.name, entry.address, view.state, view.started_at, view.zone)
                 self.machines[view.id] = machine
                 change.new.append(machine)
             elif view.started_at > machine.started_at:
@@ -77,8 +78,17 @@
                 machine.address = entry.address
             if view.state is api.MachineState.GONE:
                 change.gone.append(machine)
+        self.generation += bool(change.new or change.gone)
         return change
 
+    def zones(self) -> dict[int, list[api.MachineId]]:
+        """The machines that are not gone, by zone."""
+        found: dict[int, list[api.MachineId]] = {}
+        for machine in self.machines.values():
+            if machine.state is not api.MachineState.GONE:
+                found.setdefault(machine.zone, []).append(machine.id)
+        return found
+
 
 def net(events: Sequence[Event]) -> Event:
     """What a whole list and the changes after it come to: one whole list, without what is gone."""
--- a/kelpfront/platform/probes.py
+++ b/kelpfront/platform/probes.py
@@ -18,6 +18,8 @@
     ) -> None:
         self._decide, self._put, self._timers = decide, put, timers
         self._out: dict[str, tuple[api.MachineId, float]] = {}
+        self.heard: Callable[[float, api.MachineId, bool], None] | None = None
+        """Is told what each probe came to, and whether by silence, where others tell of machines too."""
 
     def ask(self, now: float, machine: api.MachineId, call: str, timeout: float) -> None:
         """Sends a probe under the id `call`; without an answer within `timeout` ms it has failed."""
@@ -30,6 +32,12 @@
         found = self._out.pop(call, None)
         if found is not None:
             self._decide(now, api.ProbeAnswered(found[0], ok, now - found[1], load, silent))
+            if self.heard is not None:
+                self.heard(now, found[0], silent)
+
+    def others_saw(self, now: float, seen: api.MachinesSeen) -> None:
+        """What others say of machines, which may stand for probes."""
+        self._decide(now, seen)
 
     def _unanswered(self, now: float, call: str) -> None:
         if call in self._out:
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -113,6 +113,9 @@
                 self._end(self._tasks[ident])
             case api.ProbeAnswered():
                 self._probed(event)
+            case api.MachinesSeen(idents, at, ask):  # it only puts off when they are asked, and lost
+                for machine in filter(None, map(self._machines.get, idents)):
+                    machine.see(self._now, at, ask)
         out, self._out = self._out, []
         return out
 
@@ -592,8 +595,8 @@
         placer's, and sixteen placers that asked each quiet one by the second asked more than they offered.
         """
         if machine.unheard:
-            return machine.heard_at + LOST_MS - PROBE_MS
-        late = machine.heard_at + LOST_MS - SILENT_LOST * PROBE_MS - QUIET_MS / 2
+            return machine.quiet_from + LOST_MS - PROBE_MS
+        late = machine.quiet_from + LOST_MS - SILENT_LOST * PROBE_MS - QUIET_MS / 2
         owed = [a.sent_at for a in machine.open.values() if not a.placed] if machine.awaited else []
         return min(late, max(machine.heard_at, min(owed)) + QUIET_MS) if owed else late
 
@@ -608,7 +611,7 @@
         machine = self._machines.get(event.machine)
         if machine is None:
             return
-        machine.probing = False
+        machine.probe_ended(self._now)
         if not event.silent:  # a failed one too: hot machines fail probes, and answer what they owe
             machine.heard_at = self._now
         if self._now < machine.heard_at + PROBE_MS:
@@ -620,11 +623,11 @@
             awaited = [a for a in machine.open.values() if not a.placed]
             repeatable = [a for a in awaited if a.task.cls.effect is not api.Effect.UNSAFE]
             self._out.extend(api.CancelAttempt(a.task.id, a.number) for a in repeatable)
-        if machine.unheard >= SILENT_LOST and self._now >= machine.heard_at + LOST_MS:
+        if machine.unheard >= SILENT_LOST and self._now >= machine.alive_at + LOST_MS:
             if not self._settings.told_of_losses:
                 machine.unheard = 0
                 self._out.append(api.Lost(machine.id))
-        elif machine.unheard < SILENT_AWAITED or self._now >= machine.heard_at + LOST_MS - 2 * PROBE_MS:
+        elif machine.unheard < SILENT_AWAITED or self._now >= machine.alive_at + LOST_MS - 2 * PROBE_MS:
             self._probe(machine)
 
     def _noted(self, event: api.TaskNote) -> None:
--- a/kelpfront/state.py
+++ b/kelpfront/state.py
@@ -61,6 +61,9 @@
     heard_at: float = -math.inf
     probing: bool = False
     unheard: int = 0  # probes in a row
+    asked_at: float = -math.inf  # the end of the last probe
+    seen_at: float = -math.inf  # alive by what others say
+    check_from: float = -math.inf  # what others say stands for a probe once one has ended after that
     health: dict[str, Health] = field(default_factory=dict)  # what spoke badly of it, by class or WHOLE
 
     def show(self, view: api.Machine) -> None:
@@ -87,6 +90,26 @@
             self.recent_memory -= memory
         self._sum()
 
+    @property
+    def alive_at(self) -> float:
+        """When any path last showed it alive."""
+        return max(self.heard_at, self.seen_at)
+
+    @property
+    def quiet_from(self) -> float:
+        """When it was last heard; or seen by others, where that may stand for a probe."""
+        checked = self.check_from <= max(self.heard_at, self.asked_at)
+        return self.alive_at if checked else self.heard_at
+
+    def see(self, now: float, at: float, ask: bool) -> None:
+        """Take what others say."""
+        self.seen_at = max(self.seen_at, at)
+        if ask:
+            self.check_from = now
+
+    def probe_ended(self, now: float) -> None:
+        self.probing, self.asked_at = False, now
+
     def start_anew(self) -> None:
         """A new life: what was known of the former one says nothing of it."""
         self.health.clear()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -68,12 +68,15 @@
         "kelpfront.v1",
     },
     "tracing": {"kelpfront.api", "kelpfront.placer"},
-    "platform": {"kelpfront.rules", "kelpfront.wire", "kelpfront.http"},
+    "liveness": set(),
+    "platform": {"kelpfront.rules", "kelpfront.wire", "kelpfront.http", "kelpfront.liveness"},
+    "watch": {"kelpfront.liveness", "kelpfront.platform"},
 }
 PURE = (
     "api",
     "background",
     "levels",
+    "liveness",
     "rpc",
     "placer",
     "inventory",
