--- a/kelpfront/platform/config.py
+++ b/kelpfront/platform/config.py
@@ -4,12 +4,15 @@
 
 import json
 from dataclasses import dataclass, replace
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
 from kelpfront.interface import Settings
 from kelpfront.wire import settings_of
 
+WATCHERS_MOST = 16  # each sends digests every second
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used."""
@@ -35,6 +38,8 @@
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     idle_ms: float
+    watchers: tuple[Address, ...] = ()
+    """Who tells this placer which machines live; empty: it asks them itself."""
 
 
 def read_config(path: Path) -> Config:
@@ -81,9 +86,33 @@
         zones=_names(info, "Zones"),
         kinds=_names(info, "Shapes"),
         idle_ms=float(idle),
+        watchers=_watchers(_table(raw, "liveness")),
     )
 
 
+def _watchers(table: dict[str, Any]) -> tuple[Address, ...]:
+    where = "liveness: watchers"
+    value = table.get("watchers", [])
+    if not isinstance(value, list) or len(value) > WATCHERS_MOST:
+        raise ConfigError(f"{where}: a list of at most {WATCHERS_MOST} is wanted, not {value!r}")
+    found = tuple(datagram_address(item, where) for item in value)
+    if len(set(found)) < len(found):
+        raise ConfigError(f"{where}: each is wanted once, not {value!r}")
+    return found
+
+
+def datagram_address(value: Any, where: str) -> Address:
+    """ADDRESS:PORT by number, as datagrams are told apart by it; ConfigError names `where`."""
+    found = address_of(value, where)
+    try:
+        IPv4Address(found.host)
+    except ValueError:
+        raise ConfigError(f"{where}: an IPv4 address and a port are wanted, not {value!r}") from None
+    if not found.port:
+        raise ConfigError(f"{where}: a port above 0 is wanted, not {value!r}")
+    return found
+
+
 def address_of(value: Any, where: str) -> Address:
     """HOST:PORT as an address; ConfigError names `where`."""
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -11,7 +11,7 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -30,6 +30,9 @@
 from kelpfront.platform.turns import Turns
 from kelpfront.rules import Scheduler
 
+if TYPE_CHECKING:
+    from kelpfront.platform.watched import WatchPort
+
 log = structlog.get_logger("kelpfront.platform")
 
 FIGURES_S = 5.0  # between two lines of counters in the log
@@ -61,14 +64,28 @@
         self._timer_at = 0.0
         self._flushing = False
         self._ending: asyncio.Event = asyncio.Event()
+        self._watched = self._watch_port()
         self.port = 0
 
+    def _watch_port(self) -> WatchPort | None:
+        """None where the configuration names no watchers, as the platform's does not: nothing is loaded."""
+        config = self._config
+        if not config.watchers:
+            return None
+        from kelpfront.platform.watched import WatchPort
+
+        nonce = int.from_bytes(os.urandom(8))
+        host = config.listen.host
+        return WatchPort(host, config.watchers, self.core, self._clock.now, self.flush, nonce)
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         loop.add_signal_handler(signal.SIGTERM, self._ending.set)
         self._take(self._config.known)
         self._follower.start()
+        if self._watched is not None:
+            await self._watched.start()
         if self._changed():  # the signal for it may have come before it was listened for
             self._reload()
         starting = loop.create_task(self._start())
@@ -120,6 +137,8 @@
     async def close(self) -> None:
         """Breaks all connections and ends what follows the coordinator."""
         self._follower.stop()
+        if self._watched is not None:
+            self._watched.close()
         if self._timer is not None:
             self._timer.cancel()
         await self._front.close()
@@ -253,7 +272,9 @@
     async def _figures(self) -> None:
         while True:
             await asyncio.sleep(FIGURES_S)
-            log.info("figures", memory_mb=_memory_mb(), descriptors=_descriptors(), **self.core.counts)
+            news = {} if self._watched is None else self._watched.news.counts
+            counts = self.core.counts | news
+            log.info("figures", memory_mb=_memory_mb(), descriptors=_descriptors(), **counts)
 
 
 def _memory_mb() -> float:
