Liveness: losses known with time to spare, figures of a placer with and without watchers

Reason: in a trial with the scale rig (1,100 hollow workers, 8 placers, the link between regions cut with its datagrams) some of what 550 workers held was released 8.16 s after the cut, and 8 s are allowed: all machines count as seen at nearly the same moment, and are asked in a few turns of a busy placer (STAGGER_MS in liveness/news.py). The new test fails with the old stagger.

--- a/kelpfront/lab/liveness.py
+++ b/kelpfront/lab/liveness.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import json
 import random
 import time
 from collections import Counter
@@ -372,3 +373,77 @@
 
 
 ALL_ZONES = tuple(range(len(ZONES)))
+
+
+# ---- Figures ----------------------------------------------------------------------------------------------
+
+RACK = 20  # workers
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    """Seconds: the middle, one in a hundred, and the most."""
+    ordered = sorted(values)
+    at = {"p50": 0.5, "p99": 0.99, "most": 1.0}
+    last = len(ordered) - 1
+    return {
+        name: round(ordered[min(last, int(share * len(ordered)))] / 1000, 2) for name, share in at.items()
+    }
+
+
+def spending(workers: int, placers: int, watched: bool, seconds: float = 30.0) -> dict[str, Any]:
+    """At rest, once all have news; each placer holds so many tasks that all stand on `workers`."""
+    world = World(workers, placers, max(workers, 20 * workers // placers), _watched(watched))
+    world.run(12_000.0)
+    world.forget()
+    world.run(seconds * 1000.0)
+    return {"workers": workers, "placers": placers, "watched": watched, **world.spending(seconds)}
+
+
+def times_to_know(watched: bool, rounds: int = 12, workers: int = 300, placers: int = 4) -> dict[str, Any]:
+    """A worker, a rack and a zone vanish in turn, each at another moment; every placer is looked at."""
+    found: dict[str, list[float]] = {"worker": [], "rack": [], "zone": []}
+    for number in range(rounds):
+        world = World(workers, placers, workers, _watched(watched), seed=number + 1)
+        world.run(7_000.0 + 431.0 * number)
+        first, second = world.zone(0), world.zone(1)
+        for kind, gone in (("worker", first[:1]), ("rack", first[1 : 1 + RACK]), ("zone", second)):
+            world.vanish(*gone)
+            world.run(9_000.0 + 137.0 * number)
+            known = world.known_after(*gone)
+            if len(known) != placers * len(gone) or world.false_alarms():
+                raise RuntimeError(f"{kind}: {len(known)} known, given up alive: {world.false_alarms()}")
+            found[kind] += known
+    return {"watched": watched, **{kind: spread(values) for kind, values in found.items()}}
+
+
+def false_alarms(watched: bool, loss: float, minutes: float = 10.0) -> dict[str, Any]:
+    """All live, and that share of all tests and datagrams is lost, by itself; those given up in that time."""
+    world = World(300, 4, 300, _watched(watched))
+    world.test_loss = loss
+    world.datagrams = lambda rng: [WAY_MS] if rng.random() >= loss else []
+    world.run(minutes * 60_000.0)
+    alarms = len(world.false_alarms())
+    an_hour = round(alarms * 60 / minutes / world.placers_most, 2)
+    return {"watched": watched, "lost": loss, "given_up": alarms, "an_hour_and_placer": an_hour}
+
+
+def _watched(watched: bool) -> tuple[tuple[int, ...], ...]:
+    """Two watchers for each half of the zones."""
+    half = len(ZONES) // 2
+    return 2 * (ALL_ZONES[:half], ALL_ZONES[half:]) if watched else ()
+
+
+def main() -> int:
+    for watched in (False, True):
+        for workers in (100, 300, 1_100, 2_200):
+            print(json.dumps(spending(workers, 2, watched)), flush=True)
+        for placers in (4, 8):
+            print(json.dumps(spending(300, placers, watched)), flush=True)
+        print(json.dumps(times_to_know(watched)), flush=True)
+        for loss in (0.0, 0.05, 0.2):
+            print(json.dumps(false_alarms(watched, loss)), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/kelpfront/liveness/news.py
+++ b/kelpfront/liveness/news.py
@@ -25,8 +25,10 @@
 DOUBT_MS = 10_000.0  # between two times that a whole zone is asked
 RETRY_MS = 5_000.0  # between probes of a machine that only others reach, or that may have started anew
 SPOT_MS = 1_000.0  # between probes of any one machine that others see alive
-STAGGER_MS = (0.0, 500.0, 1_000.0)  # by which the thirds of a roster count as seen earlier: where news
-# stop, a placer that asks all machines in one turn would be late with everything else
+# By how much earlier the thirds of a roster count as seen. Where news stop, a placer that asked all machines
+# in one turn would be late with everything else. The least is for a busy placer's own delays: without it,
+# some of what 550 machines held was released 8.2 s after their end, and 8 are allowed.
+STAGGER_MS = (600.0, 1_000.0, 1_400.0)
 
 
 class _Source:
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -132,14 +132,27 @@
         dies_in_time(its, *its.zone(2))
 
 
+def test_what_vanishes_is_given_up_with_time_to_spare() -> None:
+    """A placer among many on a busy host is late by some tenths of a second on its own."""
+    for seed in range(1, 13):
+        its = World(40, 1, 40, TWO, seed)
+        its.run(7_000.0 + 137.0 * seed)
+        gone = [*its.zone(1), *its.zone(2)]
+        dies_in_time(its, *gone)
+        assert max(its.known_after(*gone)) <= OWED_MS - 1_000.0
+
+
 def test_a_zone_that_is_gone_for_a_moment_loses_nothing() -> None:
-    its = world()
+    its = World(4 * 157, 2, 4 * 157, TWO)
+    its.run(7_000.0)
     its.vanish(*its.zone(1))
     its.run(3_500.0)
     its.come_back(*its.zone(1))
     its.run(15_000.0)
-    assert its.false_alarms() == [] and its.left(*its.zone(1)) == 2 * len(its.zone(1))
-    assert [log for log in its.watchers[0].watcher.logs if "back" in log]
+    assert its.false_alarms() == [] and its.left(*its.zone(1)) == 2 * 157
+    for sender in its.watchers:
+        assert sender.watcher.logs and all("zone 1: " in log for log in sender.watcher.logs)
+        assert len(sender.watcher.logs) <= 6  # not one for each machine
 
 
 # ---- The helper -------------------------------------------------------------------------------------------
@@ -176,10 +189,11 @@
     assert its.false_alarms() == [] and its.newer_than_true == []
 
 
-def test_a_watcher_cut_off_from_a_zone_its_region_or_one_placer_is_contradicted() -> None:
+@pytest.mark.parametrize("zones", [(1, 2), ALL_ZONES])
+def test_a_watcher_cut_off_from_zones_its_region_or_one_placer_is_contradicted(zones: tuple[int]) -> None:
     its = world()
     first, placer = its.watchers[0], its.placers[0]
-    its.cut = lambda who, worker: who is first and worker.zone in (1, 2)
+    its.cut = lambda who, worker: who is first and worker.zone in zones
     its.deaf = lambda sender, receiver: {sender, receiver} == {its.watchers[1], placer}
     its.run(15_000.0)
     assert its.false_alarms() == []  # what one sees is seen; the placer asks where none tells it
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -134,9 +134,13 @@
 
 
 async def test_paths_that_one_process_lacks(tmp_path: Path) -> None:
-    """A zone cut off from one placer, another from one watcher; one worker answers no watcher at all."""
+    """A zone cut off from one placer, another from one watcher; one worker answers no watcher at all.
+
+    The other watcher is cut off from the other placer.
+    """
     async with Deployment(tmp_path, proxied=("p0", "w0")) as its:
         await has_news(its, 0, 1)
+        its.relays["p1", "w1"].fate = lambda rng: []
         for who, zone in (("p0", "b"), ("w0", "c")):
             for worker in its.zone(zone):
                 its.proxies[who, worker].path.up.drops = True
@@ -164,8 +168,12 @@
         await until(lambda: all(its.figures(name).get(key) for name in its.placers), KNOWN_S)
         for watcher in its.watchers.values():
             await watcher.kill()
+        older = its.watchers["w0"].config["known"]["updates"][0]["endpoints"]["members"]
+        del older[2]
+        for watcher in its.watchers.values():
             await watcher.start()
-        await until(lambda: all(its.told(p, "watcher 1 has started anew") for p in its.placers), KNOWN_S)
+        for text in ("watcher 1 has started anew", "watcher 0 has another list: machines are asked"):
+            await until(lambda text=text: all(its.told(p, text) for p in its.placers), KNOWN_S)  # type: ignore[misc]
         assert lost(its) == set()
         for name, placer in its.placers.items():
             await placer.kill()
