--- a/kelpfront/lab/fleet/processes.py
+++ b/kelpfront/lab/fleet/processes.py
@@ -98,12 +98,15 @@
         part.write_text(json.dumps(self.config))
         part.replace(self._path)
 
+    def _arguments(self) -> list[str]:
+        return ["-m", "kelpfront.platform"]
+
     async def start(self) -> None:
         self.write_config()
         with self.log_path.open("ab") as log:
             log_start = log.seek(0, os.SEEK_END)
             self._process = await asyncio.create_subprocess_exec(
-                *bounded(self._files, self._memory_mb, "-m", "kelpfront.platform"),
+                *bounded(self._files, self._memory_mb, *self._arguments()),
                 env=os.environ | {"LB_CONFIG": str(self._path)},
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
--- a/kelpfront/platform/calls.py
+++ b/kelpfront/platform/calls.py
@@ -58,6 +58,7 @@
     address: Address
     state: api.MachineState
     started_at: float
+    zone: int = -1
     standing: dict[str, Call] = field(default_factory=dict)
     anew_at: float = -math.inf  # when this placer was told of its present life, where it knew of another
 
--- a/kelpfront/platform/fleet.py
+++ b/kelpfront/platform/fleet.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         self.machines: dict[api.MachineId, Machine] = {}
         self.index = 0
+        self.generation = 0  # counts changes of which machines there are
         self.missed = False  # an event was not told, and would never be asked for again
         self._highest = 0  # number of all that were taken, also before numbers went back
         self._gone: dict[api.MachineId, float] = {}  # and when each had started
@@ -76,7 +77,7 @@
             view = entry.machine
             machine = self.machines.get(view.id)
             if machine is None:
-                machine = Machine(view.id, entry.name, entry.address, view.state, view.started_at)
+                machine = Machine(view.id, entry.name, entry.address, view.state, view.started_at, view.zone)
                 self.machines[view.id] = machine
                 change.new.append(machine)
             elif view.started_at > machine.started_at:
@@ -91,6 +92,7 @@
             self._gone[machine.id] = machine.started_at
             if len(self._gone) > GONE_KEPT:
                 del self._gone[next(iter(self._gone))]
+        self.generation += bool(change.new or change.gone)
         return change
 
     def _without_takebacks(self, event: Event) -> Event:
@@ -108,6 +110,14 @@
             entries.append(entry)
         return replace(event, entries=tuple(entries))
 
+    def zones(self) -> dict[int, list[api.MachineId]]:
+        """The machines that are not gone, by zone."""
+        found: dict[int, list[api.MachineId]] = {}
+        for machine in self.machines.values():
+            if machine.state is not api.MachineState.GONE:
+                found.setdefault(machine.zone, []).append(machine.id)
+        return found
+
 
 def net(events: Sequence[Event]) -> Event:
     """What a whole list and the changes after it come to: one whole list, without what is gone."""
--- a/kelpfront/rules.py
+++ b/kelpfront/rules.py
@@ -118,6 +118,9 @@
                 self._end(self._tasks[ident])
             case api.ProbeAnswered():
                 self._probed(event)
+            case api.MachinesSeen(idents, at, ask):  # it only puts off when they are asked, and lost
+                for machine in filter(None, map(self._machines.get, idents)):
+                    machine.see(self._now, at, ask)
         out, self._out = self._out, []
         return out
 
@@ -464,10 +467,8 @@
             self._hold()
 
     def _hold(self) -> None:
-        """Where most offers are refused placers chase the same little room: hold offers back.
-
-        The pause doubles with a refusal and halves with an offer taken; chance in it parts the placers.
-        """
+        """Where most offers are refused placers chase the same little room: hold offers back."""
+        # The pause doubles with a refusal and halves with an offer taken; chance in it parts the placers.
         most = self._least_aim_ms
         if self._pause >= most / 32:  # not the first for a while
             self._hold_until = self._now + self._pause * (0.5 + self._random.random())
@@ -594,9 +595,9 @@
     def _ask_at(self, machine: Machine) -> float:
         """When a machine is asked whether it lives: soon where it owes an answer, else as owners allow."""
         if machine.unheard:
-            return machine.heard_at + LOST_MS - PROBE_MS
-        # Nearly all hold tasks of each placer: sixteen that asked by the second asked more than they offered.
-        late = machine.heard_at + LOST_MS - SILENT_LOST * PROBE_MS - QUIET_MS / 2
+            return machine.quiet_from + LOST_MS - PROBE_MS
+        # Not by the second: all hold tasks of each placer, and sixteen asked more than they offered.
+        late = machine.quiet_from + LOST_MS - SILENT_LOST * PROBE_MS - QUIET_MS / 2
         owed = [a.sent_at for a in machine.open.values() if not a.placed] if machine.awaited else []
         return min(late, max(machine.heard_at, min(owed)) + QUIET_MS) if owed else late
 
@@ -611,7 +612,7 @@
         machine = self._machines.get(event.machine)
         if machine is None:
             return
-        machine.probing = False
+        machine.probe_ended(self._now)
         if not event.silent:  # a failed one too: hot machines fail probes, and answer what they owe
             machine.heard_at = self._now
         if self._now < machine.heard_at + PROBE_MS:
@@ -623,11 +624,11 @@
             awaited = [a for a in machine.open.values() if not a.placed]
             repeatable = [a for a in awaited if a.task.cls.effect is not api.Effect.UNSAFE]
             self._out.extend(api.CancelAttempt(a.task.id, a.number) for a in repeatable)
-        if machine.unheard >= SILENT_LOST and self._now >= machine.heard_at + LOST_MS:
+        if machine.unheard >= SILENT_LOST and self._now >= machine.alive_at + LOST_MS:
             if not self._settings.told_of_losses:
                 machine.unheard = 0
                 self._out.append(api.Lost(machine.id))
-        elif machine.unheard < SILENT_AWAITED or self._now >= machine.heard_at + LOST_MS - 2 * PROBE_MS:
+        elif machine.unheard < SILENT_AWAITED or self._now >= machine.alive_at + LOST_MS - 2 * PROBE_MS:
             self._probe(machine)
 
     def _noted(self, event: api.TaskNote) -> None:
