Scale run: watchers of each region, their datagrams counted and cut with the link; runs to 900 s

Reason: the mechanism for knowing that workers live has to be shown on the scale run, before and after, and its false alarms over ten minutes.

--- a/kelpfront/cli/scale.py
+++ b/kelpfront/cli/scale.py
@@ -39,6 +39,7 @@
 @click.option("--settle", default=6.0, show_default=True, help="Seconds under load before that.")
 @click.option("--delay-ms", default=20.0, show_default=True, help="One way between the regions' lists.")
 @click.option("--drains", default=3, show_default=True, help="Machines told to drain in that time.")
+@click.option("--watchers", default=0, show_default=True, help="Of each region; 0: placers test machines.")
 @click.option("--restart/--no-restart", default=True, show_default=True, help="Kill a placer at the end.")
 @click.option("--fault", "faults", multiple=True, help="KIND@SECONDS+SECONDS; worker, rack, zone or link.")
 @click.option("--sweep", "sweeps", multiple=True, type=click.Choice([*SWEEPS, "all"]))
--- a/kelpfront/lab/fleet/scale/run.py
+++ b/kelpfront/lab/fleet/scale/run.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import random
+import socket
 import tempfile
 import time
 from collections import Counter
@@ -12,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from kelpfront.lab.fleet.datagrams import DatagramRelay
+from kelpfront.lab.fleet.datagrams import whole as whole_datagram
 from kelpfront.lab.fleet.ports import free_port
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.scale import measure
@@ -31,6 +35,8 @@
 )
 from kelpfront.lab.fleet.scale.traffic import Counts, Traffic, added, difference
 from kelpfront.lab.fleet.settings import config_json, settings_json
+from kelpfront.lab.fleet.watched import WatcherProcess
+from kelpfront.lab.fleet.watched import free_port as udp_port
 from kelpfront.lab.platform import Json
 from kelpfront.lab.process import raise_file_limit
 
@@ -53,6 +59,8 @@
     lists: Json
     owners: Counts
     samples: list[measure.Sample]
+    watchers: list[measure.Sample]
+    datagrams: dict[int, Counter[str]]
 
 
 class Run:
@@ -65,6 +73,8 @@
         self._hollow: list[Child] = []
         self.real: list[PlacerProcess] = []
         self.owners: list[Owners] = []
+        self.watchers: list[WatcherProcess] = []
+        self._relays: dict[int, list[DatagramRelay]] = {}
         self._traffic = Traffic()
         self._jobs: list[asyncio.Task[None]] = []
         self._submitting = True
@@ -89,6 +99,7 @@
         port = free_port()  # the same on each placer's own address
         known = json.dumps({"index": 1, "updates": [whole(shape, ports)]}).encode()
         hollow: list[str] = []
+        told = await self._start_watchers(known, list_ports)
         for number in range(shape.placers):
             host = address_of(PLACER_NET, number)
             lists = f"{address_of(LIST_NET, number)}:{list_ports[shape.region_of_placer(number)]}"
@@ -96,6 +107,7 @@
             config = config_json(number, shape.placers, f"{host}:{port}", lists, own_known, SOCKETS)
             settings = settings_json(number, shape.placers, shape.zone_names, CORES, MEMORY_GB)
             config["settings"] = settings | {"Zone": shape.zone_of_placer(number)}
+            config["liveness"] = {"watchers": await self._relayed(number, told)}
             self.owners.append(Owners(shape, number, host, port, self._traffic))
             if number < shape.real:
                 self.real.append(PlacerProcess(f"p{number}", config, self._work, files=SOCKETS))
@@ -111,6 +123,34 @@
         await asyncio.gather(*(owners.until_ready() for owners in self.owners))
         await asyncio.gather(*(owners.hand_over(HAND_OVER_S) for owners in self.owners))
 
+    async def _start_watchers(self, known: bytes, list_ports: list[int]) -> list[str]:
+        """Those of each region, and where they hear placers."""
+        shape, told = self.shape, []
+        for number in shape.watcher_numbers:
+            region = shape.region_of_placer(number)
+            lists = f"{address_of(LIST_NET, number)}:{list_ports[region]}"
+            own_known = json.loads(seen_by(known, number))
+            config = config_json(number, shape.placers, "127.0.0.1:9", lists, own_known, SOCKETS)
+            config["settings"] = settings_json(number, shape.placers, shape.zone_names, CORES, MEMORY_GB)
+            names = enumerate(shape.zone_names)
+            zones = [name for zone, name in names if shape.region_of_zone(zone) == region]
+            told.append(f"127.0.0.1:{udp_port(socket.SOCK_DGRAM)}")
+            config["watch"] = {"listen": told[-1], "zones": zones}
+            self.watchers.append(WatcherProcess(f"watcher{number}", config, self._work, files=SOCKETS))
+            await self.watchers[-1].start()
+        return told
+
+    async def _relayed(self, placer: int, told: list[str]) -> list[str]:
+        """Relays to watchers that count a real placer's datagrams."""
+        found = []
+        for one in told:
+            host, _, port = one.rpartition(":")
+            relay = DatagramRelay((host, int(port)), placer)
+            await relay.start()
+            self._relays.setdefault(placer, []).append(relay)
+            found.append(f"{relay.address[0]}:{relay.address[1]}")
+        return found
+
     async def _load(self) -> None:
         """Starts, ends and events at their rates, from now on."""
         shape = self.shape
@@ -144,12 +184,16 @@
 
     async def _look(self) -> Look:
         samples = [measure.sample(placer.pid) for placer in self.real]
+        watchers = [measure.sample(watcher.pid) for watcher in self.watchers]
+        datagrams: dict[int, Counter[str]] = {}
+        for number, relays in self._relays.items():
+            datagrams[number] = sum((relay.passed for relay in relays), Counter())
         at = time.monotonic()
         owners: Counts = json.loads(json.dumps(self._traffic.json()))
         *workers, lists = await asyncio.gather(
             *(child.ask("report") for child in self._workers), self._ask_lists("report")
         )
-        return Look(at, workers, lists, owners, samples)
+        return Look(at, workers, lists, owners, samples, watchers, datagrams)
 
     async def _drain(self, machine: int) -> None:
         told = await self._ask_lists("drain", machine=machine)
@@ -174,6 +218,7 @@
         since = time.monotonic()
         if fault.kind == "link":
             await asyncio.gather(self._tell_workers("link", cut=True), self._ask_lists("link", cut=True))
+            self._cut_datagrams(True)
         else:
             await self._tell_workers("silence", machines=machines)
         tasks = 0
@@ -194,10 +239,18 @@
         }
         if fault.kind == "link":
             await asyncio.gather(self._tell_workers("link", cut=False), self._ask_lists("link", cut=False))
+            self._cut_datagrams(False)
         else:
             await self._tell_workers("wake", machines=machines)
         return figures
 
+    def _cut_datagrams(self, cut: bool) -> None:
+        shape = self.shape
+        for placer, relays in self._relays.items():
+            for number, relay in zip(shape.watcher_numbers, relays, strict=True):
+                if shape.region_of_placer(number) != shape.region_of_placer(placer):
+                    relay.fate = lost if cut else whole_datagram
+
     async def _fail_all(self) -> list[Json]:
         began, found = time.monotonic(), []
         for fault in self.shape.faults:
@@ -279,6 +332,9 @@
             for owners in self.owners:
                 owners.close()
             lists = [] if self._lists is None else [self._lists]
+            for relay in (relay for relays in self._relays.values() for relay in relays):
+                relay.close()
+            await asyncio.gather(*(watcher.kill() for watcher in self.watchers))
             children = [*self._hollow, *self._workers, *lists]
             await asyncio.gather(*(placer.kill() for placer in self.real))
             await asyncio.gather(*(child.kill() for child in children))
@@ -331,6 +387,10 @@
                     "descriptors": new.descriptors,
                     "standing": len(self.owners[number].standing),
                     **measure.of_placer(seen, number, seconds),
+                    **{
+                        f"datagram_{name}_s": round((count - before.datagrams[number][name]) / seconds, 1)
+                        for name, count in after.datagrams.get(number, {}).items()
+                    },
                 }
             )
         tests = sum(new["tests"] - old["tests"] for new, old in reports)
@@ -345,6 +405,10 @@
             "workers": measure.of_workers(by_worker, tests, after.workers, shape.machines, seconds),
             "list": lists,
             "link": {"bytes_s": round(sum(one["link_bytes_s"] for one in lists), 1)},
+            "watchers": [
+                {"cpu_share": round((new.cpu_s - old.cpu_s) / seconds, 4), "rss_mb": new.rss_mb}
+                for new, old in zip(after.watchers, before.watchers, strict=True)
+            ],
             "events_told_s": round((after.lists["told"] - before.lists["told"]) / seconds, 2),
         }
 
@@ -353,6 +417,10 @@
     return f"kelpfront.lab.fleet.scale.{name}"
 
 
+def lost(rng: random.Random) -> list[float]:
+    return []
+
+
 async def _up(child: Child) -> Json:
     await child.start()
     hello: Json = await child.hello()
--- a/kelpfront/lab/fleet/scale/shape.py
+++ b/kelpfront/lab/fleet/scale/shape.py
@@ -17,10 +17,11 @@
     "zones": (1, 16),
     "starts": (0, 200),
     "events": (0, 500),
-    "seconds": (1, 120),
+    "seconds": (1, 900),
     "settle": (0, 60),
     "delay_ms": (0, 2_000),
     "drains": (0, 20),
+    "watchers": (0, 4),
 }
 TASKS_OF_ONE = 8_000  # standing tasks of one placer; more are not taken
 RACK = 20  # machines
@@ -30,6 +31,7 @@
 KNOWN_WITHIN_S = 12.0  # what is silent for less may not be known; the run looks so long after the last
 CORES, MEMORY_GB = 64, 256.0  # of a machine
 TASK_CORES, TASK_MEMORY_GB = 0.2, 0.3
+WATCHERS_FROM = 64  # numbers above those of placers
 NET, PLACER_NET, LIST_NET = 64, 10, 20  # second octets: of machines as the first placer sees them, and others
 
 _FAULT = re.compile(r"([a-z]+)@(\d+(?:\.\d+)?)\+(\d+(?:\.\d+)?)")
@@ -81,6 +83,7 @@
     delay_ms: float = 20.0
     drains: int = 3
     restart: bool = True
+    watchers: int = 0  # of each region; without any, placers test machines themselves
     faults: tuple[Fault, ...] = ()
 
     def __post_init__(self) -> None:
@@ -134,6 +137,12 @@
 
     # ---- Where what stands ----------------------------------------------------------------------------
 
+    @property
+    def watcher_numbers(self) -> range:
+        """By which lists and workers know watchers, among placers: the region of each is by its number."""
+        first = WATCHERS_FROM - WATCHERS_FROM % self.regions
+        return range(first, first + self.watchers * self.regions)
+
     @property
     def zone_names(self) -> list[str]:
         return [f"z{number}" for number in range(self.zones)]
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -27,7 +27,7 @@
 from kelpfront.lab.fleet.scale.measure import of_placer
 from kelpfront.lab.fleet.scale.owners import Owners
 from kelpfront.lab.fleet.scale.regions import RegionList, Regions, whole
-from kelpfront.lab.fleet.scale.run import breaks
+from kelpfront.lab.fleet.scale.run import breaks, play
 from kelpfront.lab.fleet.scale.shape import BOUNDS, KINDS, Fault, Shape, ShapeError
 from kelpfront.lab.fleet.scale.sweep import OTHERS, SIZES, keep, shapes_of, slopes_of
 from kelpfront.lab.fleet.scale.table import slope_table
@@ -240,6 +240,15 @@
 # ---- Processes ------------------------------------------------------------------------------------------
 
 
+async def test_with_watchers_placers_are_told_by_datagrams_that_are_counted() -> None:
+    """Guards against a run that names watchers and measures placers that ask for themselves alone."""
+    sizes = {"machines": 20, "tasks": 40, "placers": 2, "real": 1, "seconds": 4, "settle": 3, "drains": 0}
+    figures = await play(Shape.of(Shape().sizes() | sizes | {"restart": False, "watchers": 1}))
+    (placer,) = figures["real"]
+    assert placer["datagram_in_s"] > 0 and placer["datagram_out_s"] > 0
+    assert len(figures["watchers"]) == 2  # one a region
+
+
 def test_a_tiny_run_counts_what_went_through(tmp_path: Path) -> None:
     """Two real placers, a hollow one, twenty workers, a list in each of two regions; a worker falls silent.
 
