Scale run: a drain counts as in force by placers alone, not by watchers that ask too

Reason: with watchers 'untold' came to -12 over ten minutes (run.py, _drains): they ask for the list by numbers above the placers'. Change: only placers' numbers count. Result: the test of watchers now drains a machine and fails without (untold below 0), passes with.

--- a/kelpfront/lab/fleet/scale/run.py
+++ b/kelpfront/lab/fleet/scale/run.py
@@ -353,7 +353,8 @@
     def _drains(self, last: Look) -> Json:
         shape, found, untold = self.shape, [], 0
         for drain in last.lists["drains"]:
-            known = drain["known"]
+            # By number; watchers, whose numbers are higher, ask for the list too.
+            known = {who: at for who, at in drain["known"].items() if int(who) < shape.placers}
             found += [(at - drain["told_at"]) * 1000.0 for at in known.values()]
             untold += shape.placers - len(known)
         return {
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -242,11 +242,12 @@
 
 async def test_with_watchers_placers_are_told_by_datagrams_that_are_counted() -> None:
     """Guards against a run that names watchers and measures placers that ask for themselves alone."""
-    sizes = {"machines": 20, "tasks": 40, "placers": 2, "real": 1, "seconds": 4, "settle": 3, "drains": 0}
+    sizes = {"machines": 20, "tasks": 40, "placers": 2, "real": 1, "seconds": 4, "settle": 3, "drains": 1}
     figures = await play(Shape.of(Shape().sizes() | sizes | {"restart": False, "watchers": 1}))
     (placer,) = figures["real"]
     assert placer["datagram_in_s"] > 0 and placer["datagram_out_s"] > 0
     assert len(figures["watchers"]) == 2  # one a region
+    assert figures["drains"]["untold"] == 0  # they ask for the list too, and are no placers
 
 
 def test_a_tiny_run_counts_what_went_through(tmp_path: Path) -> None:
