--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -357,7 +357,8 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "seed", "rule"), [("NeverStops", 702, "strays"), ("GateOpenToDrains", 705, "drains")]
+    ("name", "seed", "rule"),
+    [("NeverStops", 703, "strays"), ("NeverStops", 705, "strays"), ("GateOpenToDrains", 705, "drains")],
 )
 def test_what_the_judge_was_blind_to_is_found_by_its_rule(name: str, seed: int, rule: str) -> None:
     """Guards against copies that run on unseen, and drains that begin while offers wait at the gate."""
