--- a/kelpfront/lab/fleet/coldramp.py
+++ b/kelpfront/lab/fleet/coldramp.py
@@ -155,20 +155,6 @@
     def _known(self) -> Json:
         return {"index": len(self.service.updates), "updates": list(self.service.updates)}
 
-    async def _ready(self, placer: PlacerProcess) -> None:
-        while True:
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(5.0):
-                    peer = Peer(*await asyncio.open_connection(placer.host, placer.port))
-                    try:
-                        peer.say(line("test", TEST_CALL, why=0))
-                        answer = await peer.read()
-                    finally:
-                        peer.cut()
-                    if answer is not None and answer.get("why") == 1:
-                        return
-            await asyncio.sleep(0.1)
-
     async def _boot(self, machines: list[ColdMachine]) -> None:
         entries = [await machine.boot() for machine in machines]
         self.service.tell(event(len(self.service.updates) + 1, *entries))
@@ -205,7 +191,7 @@
         try:
             await asyncio.gather(*(placer.start() for placer in self.placers))
             async with asyncio.timeout(READY_S):
-                await asyncio.gather(*(self._ready(placer) for placer in self.placers))
+                await asyncio.gather(*(placer.until_ready() for placer in self.placers))
             self._say(f"{len(self.placers)} placers are ready")
             jobs = [asyncio.create_task(owner.run()) for owner in owners]
             await asyncio.sleep(0.5)  # tasks wait by now
--- a/kelpfront/lab/fleet/coldstart.py
+++ b/kelpfront/lab/fleet/coldstart.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import tempfile
 import time
 from collections.abc import Callable
@@ -19,11 +18,8 @@
 from kelpfront.lab.fleet.ports import free_port
 from kelpfront.lab.fleet.processes import PlacerProcess
 from kelpfront.lab.fleet.settings import config_json, whole_list
-from kelpfront.lab.platform import Peer, line
 from kelpfront.lab.process import raise_file_limit
 
-READY_EVERY_S = 0.1  # between tests of a placer that did not pass
-TEST_CALL = "00000000000000f0"
 MARKS = (0.5, 0.9, 0.99, 1.0)
 BUCKET_S = 0.01
 
@@ -73,19 +69,8 @@
             self.placers.append(PlacerProcess(f"p{number}", config, self._work))
 
     async def _until_ready(self, placer: PlacerProcess) -> None:
-        while True:
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(5.0):
-                    peer = Peer(*await asyncio.open_connection(placer.host, placer.port))
-                    try:
-                        peer.say(line("test", TEST_CALL, why=0))
-                        answer = await peer.read()
-                    finally:
-                        peer.cut()
-                    if answer is not None and answer.get("why") == 1:
-                        self.ready[placer.name] = time.monotonic() - self._began
-                        return
-            await asyncio.sleep(READY_EVERY_S)
+        await placer.until_ready()
+        self.ready[placer.name] = time.monotonic() - self._began
 
     async def _serve_list(self) -> None:
         shape = self.shape
--- a/kelpfront/lab/fleet/processes.py
+++ b/kelpfront/lab/fleet/processes.py
@@ -14,7 +14,12 @@
 from pathlib import Path
 from typing import Any
 
+from kelpfront.lab.platform import Peer, line
+
 END_S = 10.0
+READY_EVERY_S = 0.1  # between tests of a placer that did not pass
+READY_ANSWER_S = 5.0
+TEST_CALL = "00000000000000f0"
 ENDS_KEPT = 16  # of one placer's lives
 LAST_LINES, LAST_BYTES = 40, 16_384  # of a life's log
 
@@ -144,6 +149,21 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    async def until_ready(self, every_s: float = READY_EVERY_S) -> None:
+        """Until it has passed a test; asked again after each `every_s`."""
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(READY_ANSWER_S):
+                    peer = Peer(*await asyncio.open_connection(self.host, self.port))
+                    try:
+                        peer.say(line("test", TEST_CALL, why=0))
+                        answer = await peer.read()
+                    finally:
+                        peer.cut()
+                    if answer is not None and answer.get("why") == 1:
+                        return
+            await asyncio.sleep(every_s)
+
     def stop(self) -> None:
         """It stands still; `go_on` lets it run again."""
         self.signal(signal.SIGSTOP)
--- a/kelpfront/lab/fleet/restart.py
+++ b/kelpfront/lab/fleet/restart.py
@@ -19,11 +19,11 @@
 
 import psutil
 
-from kelpfront.lab.fleet.coldstart import TEST_CALL, address_of
+from kelpfront.lab.fleet.coldstart import address_of
 from kelpfront.lab.fleet.hollow import HollowMachines
 from kelpfront.lab.fleet.lists import ListService
 from kelpfront.lab.fleet.ports import free_port
-from kelpfront.lab.fleet.processes import PlacerProcess
+from kelpfront.lab.fleet.processes import TEST_CALL, PlacerProcess
 from kelpfront.lab.fleet.settings import CLASSES, config_json, whole_list
 from kelpfront.lab.platform import Peer, line, offer
 from kelpfront.lab.process import raise_file_limit
--- a/kelpfront/platform/config.py
+++ b/kelpfront/platform/config.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from ipaddress import IPv4Address
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from kelpfront.interface import Settings
 from kelpfront.wire import settings_of
 
+T = TypeVar("T")
+
 MEMORY_MB = 64.0  # where the limits say nothing of it
 MEMORY_MOST_MB = 1 << 24
 WATCHERS_MOST = 16  # each sends digests every second
@@ -47,6 +50,11 @@
 
 def read_config(path: Path) -> Config:
     """The file at `path`; ConfigError says what is wrong with it."""
+    return read_json(path, config_of)
+
+
+def read_json(path: Path, read: Callable[[Any], T]) -> T:
+    """What `read` makes of the JSON file at `path`; ConfigError names the file."""
     try:
         raw = json.loads(path.read_bytes())
     except OSError as error:
@@ -54,7 +62,7 @@
     except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not JSON: {error}") from None
     try:
-        return config_of(raw)
+        return read(raw)
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
 
--- a/kelpfront/watch/config.py
+++ b/kelpfront/watch/config.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from kelpfront.platform.config import Address, Config, ConfigError, config_of, datagram_address
+from kelpfront.platform.config import Address, Config, ConfigError, config_of, datagram_address, read_json
 
 TEST_LEAST_MS, TEST_MOST_MS = 100.0, 1_000.0  # placers ask themselves where news are older than some seconds
 
@@ -24,16 +23,7 @@
 
 def read_watch_config(path: Path) -> WatchConfig:
     """The file at `path`; ConfigError says what is wrong with it."""
-    try:
-        raw = json.loads(path.read_bytes())
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror or error}") from None
-    except (ValueError, RecursionError) as error:
-        raise ConfigError(f"{path}: not JSON: {error}") from None
-    try:
-        return watch_config_of(raw)
-    except ConfigError as error:
-        raise ConfigError(f"{path}: {error}") from None
+    return read_json(path, watch_config_of)
 
 
 def watch_config_of(raw: Any) -> WatchConfig:
