--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,8 +11,9 @@
 FOLDER = Path(__file__).resolve().parent
 MACHINES = 8
 TASKS = 48
-IDLE_MS = 4000.0
-WATCHED_S = 15.0
+MIN_CONNECTIONS = 3
+IDLE_MS = 1000.0
+WATCHED_S = 12.0
 
 
 def make_stage(record: Record) -> Stage:
@@ -30,10 +31,12 @@
     if sum(one.stands for one in asked) < TASKS // 2:
         raise CouldNotRunError("too few tasks were placed")
     forgetful = max(stage.machines, key=lambda machine: machine.connection_count)
-    for _ in range(int(WATCHED_S * 10)):
-        await asyncio.sleep(0.1)
-        if trouble():
-            forgetful.forget_idle(IDLE_MS)
+    if forgetful.connection_count < MIN_CONNECTIONS:
+        raise CouldNotRunError("too few connections were opened")
+    await asyncio.sleep(1.0)
+    if trouble():
+        forgetful.forget_idle(IDLE_MS)
+    await asyncio.sleep(WATCHED_S)
     running = stage.running()
     wrong = [one for one in asked if one.call in running and one.is_over]
     for one in wrong:
