Review case 2: say how many forgotten connections it takes

A play showed four tests before the machine was declared lost: three or four, by the instant of the first. The claim says so, and the case asks for at least four connections. No change of the check.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 FOLDER = Path(__file__).resolve().parent
 MACHINES = 8
 TASKS = 48
-MIN_CONNECTIONS = 3
+MIN_CONNECTIONS = 4
 IDLE_MS = 1000.0
 WATCHED_S = 12.0
 
