--- a/review/standins.py
+++ b/review/standins.py
@@ -14,7 +14,6 @@
 import shutil
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -28,7 +27,9 @@
 Json = dict[str, Any]
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
+HOST = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.1"
+"""A loopback address of this run alone, so that runs side by side do not meet each other's processes."""
+
 DESC = "v=0\r\nc=IN IP4 127.0.0.9\r\nm=audio 31000 RTP/AVP 0\r\n"
 CONNECT_S = 20.0
 LIMIT_S = 100.0
@@ -260,15 +261,10 @@
     number: int
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    used_at: float = field(default_factory=now_ms)
-    is_forgotten: bool = False
 
-    def reset(self) -> None:
-        """Close the connection by a reset."""
-        sock = self.writer.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+
+def _line(message: Json) -> bytes:
+    return json.dumps(message).encode() + b"\n"
 
 
 class Machine:
@@ -277,38 +273,38 @@
     Attributes:
         phase: its state in the list.
         start_ms: how long it takes until a task runs.
-        life_ms: how long a task runs; 0 for longer than the case.
-        up_since_ms: when it came back, as the list tells; 0 for long ago.
         refuses_first: whether it refuses the first offer of each task as full.
         second_copies_every: of these refusals, each so-many-th comes a second time; 0 for none.
         drains_itself: whether it drains, and refuses what it is offered.
         tasks: the tasks that run, by id.
         offers: when each set-up came, its id and the message.
         starts: each task that it started: when, its id and its name.
+        ends: when each task that has ended was released, by id.
     """
 
     def __init__(self, record: Record, name: str, *, cell: int = 1, zone: str = "hall-a") -> None:
         self.name, self.cell, self.zone = name, cell, zone
         self.port = free_port()
         self.start_ms = 20.0
-        self.life_ms = 0.0
         self.phase = "Ready"
-        self.up_since_ms = 0.0
         self.tasks: dict[str, Task] = {}
         self.offers: list[tuple[float, str, Json]] = []
         self.starts: list[tuple[float, str, str]] = []
+        self.ends: dict[str, float] = {}
         self.drains_itself = False
         self.kind = "plain"
         self.refuses_first = False
         self.second_copies_every = 0
         self._refused: set[str] = set()
+        self._given_up: set[str] = set()
         self._record = record
         self._connections: dict[MachineConnection, None] = {}
-        self._undelivered: list[bytes] = []
+        self._releases: list[bytes] = []
         self._numbers = 0
         self._server: asyncio.Server | None = None
-        self._blocked: list[socket.socket] = []
-        self._is_silent = False
+        self._runs = asyncio.Event()
+        self._runs.set()
+        self._due_ends: list[str] = []
         self._jobs: set[asyncio.Task[None]] = set()
 
     def member(self, phase: str = "") -> Json:
@@ -321,7 +317,7 @@
             "cell": self.cell,
             "phase": phase or self.phase,
             "size": 4,
-            "up_since_ms": self.up_since_ms,
+            "up_since_ms": 0,
             "spare": [32.0 - len(self.tasks), 64.0 - 2.0 * len(self.tasks)],
         }
 
@@ -331,22 +327,18 @@
         self._record.add(self.name, "listens", port=self.port)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._runs.wait()
         self._numbers += 1
         connection = MachineConnection(self._numbers, reader, writer)
         self._connections[connection] = None
-        for data in self._undelivered:
+        self._record.add(self.name, "connection", number=connection.number, releases=len(self._releases))
+        for data in self._releases:  # also what was sent on another connection
             writer.write(data)
-        self._undelivered.clear()
-        self._record.add(self.name, "connection", number=connection.number)
+        self._releases.clear()
         try:
             while line := await reader.readline():
-                if connection.is_forgotten:
-                    self._record.add(self.name, "resets a forgotten connection", number=connection.number)
-                    connection.reset()
-                    return
-                if self._is_silent or not line.endswith(b"\n"):
+                if not line.endswith(b"\n"):
                     continue
-                connection.used_at = now_ms()
                 self._on_message(connection, json.loads(line))
         except (OSError, asyncio.CancelledError):
             pass
@@ -368,19 +360,22 @@
                 self.name, "is offered", call=call, key=message["with"]["key"], phase=self.phase
             )
             self.offers.append((at, call, message))
+            self._given_up.discard(call)
             job = asyncio.get_running_loop().create_task(self._start_task(connection, message))
             self._jobs.add(job)
             job.add_done_callback(self._jobs.discard)
         elif op == "end":
             self._record.add(self.name, "is told the end", call=call, why=message.get("why"))
-            if self.tasks.pop(call, None) is not None and message.get("why") != 16:
+            if self.tasks.pop(call, None) is None:
+                self._given_up.add(call)
+            else:
                 self._say(connection, {"op": "end", "call": call, "with": {}, "why": 31})
 
     async def _start_task(self, connection: MachineConnection, message: Json) -> None:
         await asyncio.sleep(self.start_ms / 1000.0)
-        if connection not in self._connections or self._is_silent:
-            return  # a closed connection gives its open set-ups up
         call, fields = message["call"], message["with"]
+        if connection not in self._connections or call in self._given_up:
+            return
         if self.refuses_first and fields["key"] not in self._refused:
             await self._refuse_as_full(connection, call, fields["key"])
             return
@@ -392,9 +387,6 @@
         self.starts.append((at, call, fields["key"]))
         self.tasks[call] = Task(call, fields["key"], fields["class"], at, connection)
         self._say(connection, {"op": "accept", "call": call, "with": {}, "desc": DESC + fields["key"]})
-        if self.life_ms:
-            await asyncio.sleep(self.life_ms / 1000.0)
-            self._end_task(call)
 
     async def _refuse_as_full(self, connection: MachineConnection, call: str, key: str) -> None:
         """Refuse the first offer of a task, since too many offers wait; some refusals come a second time."""
@@ -407,83 +399,53 @@
             self._record.add(self.name, "sends a second copy of the refusal", call=call)
             self._say(connection, refusal)
 
-    def _end_task(self, call: str) -> None:
-        """End a task in the usual way; its release goes out on its connection, any other, or the next one."""
-        task = self.tasks.get(call)
-        if task is None or self._is_silent:
+    def end_task(self, call: str) -> None:
+        """End a task: its release goes out on its connection, or any other, and also on the next one."""
+        if not self._runs.is_set():
+            self._due_ends.append(call)
+            return
+        task = self.tasks.pop(call, None)
+        if task is None:
             return
-        del self.tasks[call]
-        self._record.add(self.name, "the task has ended", call=call)
+        usable = task.connection in self._connections
+        connection = task.connection if usable else next(iter(self._connections), None)
+        number = 0 if connection is None else connection.number
+        self.ends[call] = self._record.add(self.name, "the task has ended", call=call, released_on=number)
         message = {"op": "end", "call": call, "with": {}, "why": 16}
-        usable = [c for c in self._connections if not c.is_forgotten]
-        connection = task.connection if task.connection in usable else next(iter(usable), None)
         if connection is not None:
             self._say(connection, message)
-        else:
-            self._undelivered.append(json.dumps(message).encode() + b"\n")
+        self._releases.append(_line(message))
 
     def _say(self, connection: MachineConnection, message: Json) -> None:
-        connection.writer.write(json.dumps(message).encode() + b"\n")
-        connection.used_at = now_ms()
+        connection.writer.write(_line(message))
 
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
         return len(self._connections)
 
-    def forget_idle(self, idle_ms: float) -> int:
-        """Forget the connections that were idle for so long; what comes on one is answered by a reset."""
-        idle = [c for c in self._connections if not c.is_forgotten and now_ms() - c.used_at >= idle_ms]
-        for connection in idle:
-            connection.is_forgotten = True
-        if idle:
-            self._record.add(self.name, "forgets idle connections", numbers=[c.number for c in idle])
-        return len(idle)
-
-    def vanish(self) -> None:
-        """Fall silent: the tasks are cut, open connections stay open, and new ones never come up."""
-        self._record.add(self.name, "falls silent", tasks=len(self.tasks))
-        self._is_silent = True
-        self.tasks.clear()
-        if self._server is not None:
-            self._server.close()
-        blocker = socket.socket()
-        blocker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        blocker.bind((HOST, self.port))
-        blocker.listen(0)
-        self._blocked = [blocker]
-        for _ in range(3):  # fills the queue of the listener, so that later connects get no answer
-            sock = socket.socket()
-            sock.setblocking(False)  # noqa: FBT003 - takes it by position only
-            with contextlib.suppress(BlockingIOError):
-                sock.connect((HOST, self.port))
-            self._blocked.append(sock)
-
-    async def come_back(self) -> None:
-        """Start a new process at the same address; the old connections are reset."""
-        for sock in self._blocked:
-            sock.close()
+    def hang(self) -> None:
+        """Stand still: what arrives is not read, and what is due waits."""
+        self._record.add(self.name, "hangs", connections=len(self._connections), tasks=len(self.tasks))
+        self._runs.clear()
+        for connection in self._connections:
+            connection.writer.transport.pause_reading()
+
+    def run_on(self) -> None:
+        """End the hang: write what is due, then read what has arrived."""
+        self._record.add(self.name, "runs on")
+        self._runs.set()
+        for call in self._due_ends:
+            self.end_task(call)
+        self._due_ends.clear()
         for connection in list(self._connections):
-            connection.reset()
-        self._connections.clear()
-        self._is_silent = False
-        self.up_since_ms = round(now_ms())
-        self._record.add(self.name, "comes back cold")
-        for _ in range(50):
-            try:
-                await self.start()
-            except OSError:
-                await asyncio.sleep(0.02)
-            else:
-                return
-        raise CouldNotRunError(f"{self.name}: the port is taken")
+            with contextlib.suppress(RuntimeError):  # it was closed meanwhile
+                connection.writer.transport.resume_reading()
 
     def stop(self) -> None:
         """Close everything."""
         if self._server is not None:
             self._server.close()
-        for sock in self._blocked:
-            sock.close()
         for connection in list(self._connections):
             connection.writer.transport.abort()
 
