A machine's lost report of a task's end is repeated on a new connection

The placer counted the task as running for good.

Cause: the placer closed the connection of an unanswered offer. The machine, which had not seen that yet, wrote the end there. By the protocol it repeats the end on the next connection that is opened, but keep_connected opened none while any other connection was open.

Evidence: the case's record. The end goes out on connection 7, that of the unanswered offer; no connection 8 is ever opened, while an offer and two health checks go out on connection 6 within the next 12 s.

Change: a connection that ends before the machine's end of stream was read counts as a loss of reports while tasks run there (ReportRecovery), made up for only by a connection whose opening began after the loss. An idle connection closed for its descriptor now queues its pool for one. A refused connection proves a dead process only if no connection is open. The counter report_losses shows the losses.

--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -24,6 +24,7 @@
 from kelpfront.platform.limits import Limit
 from kelpfront.platform.machine_connection import MachineConnection
 from kelpfront.platform.messages import MAX_LINE_BYTES, InvalidMessageError, LineSplitter, Message, decode
+from kelpfront.platform.report_recovery import ReportRecovery
 from kelpfront.platform.timeouts import RECONNECT_INTERVAL_MS, ReachabilityCheck
 from kelpfront.scheduling.events import AttemptOutcome, MachineId
 
@@ -94,6 +95,7 @@
         self._queue: deque[Offer | SendHealthCheck] = deque()
         self._opening_count = 0
         self._unsent_lines: list[bytes] = []
+        self._report_recovery = ReportRecovery()
         self._tasks = BackgroundTasks()
         self._reconnect_task: asyncio.Task[None] | None = None
         self._closed = False
@@ -221,8 +223,8 @@
         self.keep_connected()
 
     def keep_connected(self) -> None:
-        """Keep a connection open while tasks run on the machine."""
-        if self.connections or self._reconnect_task is not None or self._closed:
+        """Keep a connection open while tasks run on the machine, and open another if reports may be lost."""
+        if self._reconnect_task is not None or not self._needs_connection():
             return
         if not self._budget.may_open_to_receive():
             self._core.limits.reached(Limit.DESCRIPTORS)
@@ -235,7 +237,7 @@
         try:
             while self._needs_connection():
                 async with self._budget.reconnecting:
-                    if self.connections or self._closed:
+                    if not self._needs_connection():
                         return
                     if not self._budget.may_open_to_receive():
                         self._budget.wait(self, to_send=False)
@@ -248,7 +250,7 @@
             self._reconnect_task = None
 
     def _needs_connection(self) -> bool:
-        if self.connections or self._closed:
+        if self._closed or (self.connections and not self._report_recovery.is_needed):
             return False
         return self._core.has_running_tasks(self._machine) or bool(self._unsent_lines)
 
@@ -258,7 +260,8 @@
         try:
             await self._open()
         except ConnectionRefusedError:
-            return reachability.on_refused()
+            # A process with an open connection is alive, even if it has stopped listening.
+            return not self.connections and reachability.on_refused()
         except (OSError, TimeoutError):
             reachability.on_no_response()
         return False
@@ -272,18 +275,24 @@
 
     def open_if_needed(self) -> None:
         """Open a connection to send what is queued or to receive reports on tasks, if it is still needed."""
-        is_needed = self._queue or self._unsent_lines or self._core.has_running_tasks(self._machine)
-        if not is_needed or self._closed or self.connections or self._opening_count:
+        has_to_send = bool(self._queue) and not self.connections
+        is_needed = has_to_send or self._needs_connection()
+        if not is_needed or self._closed or self._opening_count:
             self._budget.stop_waiting(self)
-        elif not self._queue:
+        elif not has_to_send:
             self._budget.stop_waiting(self)  # what it had to send was abandoned in the meantime
             self.keep_connected()
         elif self._budget.ensure_descriptor_to_send():
             self._start_connecting()
 
     def close_idle(self, connection: MachineConnection) -> None:
-        """Close a connection on which nothing waits; the machine sends its reports on the next one."""
+        """Close a connection on which nothing waits; the machine sends its reports on the next one.
+
+        That one is opened once a descriptor is available.
+        """
         self._close_connection(connection, reconnect=False)
+        if self._needs_connection():
+            self._budget.wait(self, to_send=False)
 
     # ---- Connections ----------------------------------------------------------------------------------
 
@@ -302,6 +311,7 @@
             OSError: the connection cannot be opened.
             TimeoutError: the connection is not opened in time.
         """
+        recovery_mark = self._report_recovery.begin_opening()
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 reader, writer = await asyncio.open_connection(
@@ -316,6 +326,7 @@
             writer.transport.abort()
             return
         self._opening_count -= 1
+        self._report_recovery.on_opened(recovery_mark)
         self._on_opened(MachineConnection(reader, writer, asyncio.get_running_loop().time()))
 
     def _on_opened(self, connection: MachineConnection) -> None:
@@ -361,6 +372,7 @@
                     self._on_message(connection, decode(line))
                 self._send_queued_on_idle(connection)
                 self._flush()
+            connection.is_read_to_end = not connection.is_closing
         except InvalidMessageError as error:
             text = str(error)[:MAX_LOGGED_ERROR_CHARS]
             log.info("invalid machine message", machine=f"{self._machine:x}", error=text)
@@ -398,8 +410,11 @@
         connection.waiting.clear()
         if self._closed:
             return
+        if not connection.is_read_to_end and self._core.has_running_tasks(self._machine):
+            self._report_recovery.on_reports_lost()
+            self._core.counters.report_losses += 1
         self._core.on_machine_disconnected(self._machine)
-        if reconnect and self._core.has_running_tasks(self._machine):
+        if reconnect:
             self.keep_connected()
         self._on_open_failed()  # it may have been closed before anything was sent on it
 
--- a/kelpfront/platform/counters.py
+++ b/kelpfront/platform/counters.py
@@ -31,6 +31,8 @@
         unreadable_lines: client connections closed because a line was not a message.
         unexpected_accepts, unexpected_ends, unexpected_status_reports: messages of machines that match no
             attempt in flight there.
+        report_losses: closed connections with which reports of running tasks may have been lost; each is
+            followed by a new connection, on which the machine repeats them.
         attempt_outcomes: outcomes of attempts that no machine had accepted.
         task_outcomes: outcomes of attempts that were accepted.
     """
@@ -53,6 +55,7 @@
     unexpected_accepts: int = 0
     unexpected_ends: int = 0
     unexpected_status_reports: int = 0
+    report_losses: int = 0
     attempt_outcomes: Counter[AttemptOutcome] = field(default_factory=Counter)
     task_outcomes: Counter[AttemptOutcome] = field(default_factory=Counter)
 
