A placer started in an outage of discovery pauses its offers as others do

Cause: the list became stale 7 s after the last answer, and a process without any answer had no such time, so its list never did; clients are let in without an answer at just that age.

Change: a placer that begins to serve without an answer reports its list as stale, so the scheduler's pause applies from there.

The new tests of test_platform_discovery.py fail without the change. Two tests expected offers at once from a placer whose coordinator has never answered: that is the fault, so they now hold that nothing is offered in the pause and that the task is placed after it. Two tests that started a process without a coordinator, and did not test that, start one. All of tests/platform passes.

--- a/kelpfront/platform/discovery_freshness.py
+++ b/kelpfront/platform/discovery_freshness.py
@@ -2,7 +2,9 @@
 
 The coordinator answers each poll within its wait time, with or without events. If it fails or falls silent,
 the protocol treats what it would have reported as reported 7 s after the failure began. The failure began
-no earlier than the last answer, so the list counts as stale from 7 s after that answer.
+no earlier than the last answer, so the list counts as stale from 7 s after that answer. A placer that is
+started during a failure has no answer yet, and the failure may have begun long before: its list counts as
+stale from the time at which it begins to serve without an answer.
 """
 
 from __future__ import annotations
@@ -15,11 +17,10 @@
 
 
 class DiscoveryFreshness:
-    """Submits an event when no answer has come for DISCOVERY_STALE_MS, and another when answers resume.
+    """Submits an event when the list becomes stale, and another when answers resume.
 
     Attributes:
-        last_answer_at: time of the last answer, in Unix milliseconds; 0 before the first answer. The list
-            cannot become stale before the first answer.
+        last_answer_at: time of the last answer, in Unix milliseconds; 0 before the first answer.
         is_stale: whether the endpoint list is stale.
     """
 
@@ -39,6 +40,11 @@
         if not self._has_timer:
             self._set_timer()
 
+    def on_serving(self, now: float) -> None:
+        """Count the list as stale if the placer begins to serve before the coordinator has answered."""
+        if not self.last_answer_at and not self.is_stale:
+            self._become_stale(now)
+
     def _set_timer(self) -> None:
         self._has_timer = True
         self._timers.set(self.last_answer_at + DISCOVERY_STALE_MS, self._check)
@@ -48,5 +54,8 @@
         if now < self.last_answer_at + DISCOVERY_STALE_MS:
             self._set_timer()
         else:
-            self.is_stale = True
-            self._submit(now, EndpointListStale())
+            self._become_stale(now)
+
+    def _become_stale(self, now: float) -> None:
+        self.is_stale = True
+        self._submit(now, EndpointListStale())
--- a/tests/platform/test_platform_disconnected_clients.py
+++ b/tests/platform/test_platform_disconnected_clients.py
@@ -22,7 +22,7 @@
 
 from kelpfront.lab.fleet.ports import free_port
 from kelpfront.lab.fleet.processes import PlacerProcess
-from kelpfront.lab.platform import CALL, Json, Machine, Peer, accepts, event, line, member, offer
+from kelpfront.lab.platform import CALL, Coordinator, Json, Machine, Peer, accepts, event, line, member, offer
 from kelpfront.platform import client_connections
 from kelpfront.platform.intents import AttemptKey, ClientPresence
 from kelpfront.platform.messages import contains_withdrawal
@@ -370,7 +370,9 @@
 ) -> None:
     machine = Machine("m-1")
     await machine.start()
-    raw = platforms.raw_config(member("m-1", machine.address))
+    coordinator = Coordinator()
+    await coordinator.start()
+    raw = platforms.raw_config(member("m-1", machine.address), coordinator=coordinator.address)
     raw["listen"] = f"127.0.0.1:{free_port()}"
     placer = PlacerProcess("p1", raw, tmp_path)
     await placer.start()
@@ -405,6 +407,7 @@
                 close()
         await placer.kill()
         machine.die()
+        await coordinator.stop()
 
 
 # ---- Lines that withdraw a request ------------------------------------------------------------------------
--- a/tests/platform/test_platform_discovery.py
+++ b/tests/platform/test_platform_discovery.py
@@ -22,6 +22,7 @@
 from kelpfront.platform.endpoint_table import EndpointTable, merge_events
 from kelpfront.platform.messages import decode, machine_id
 from kelpfront.platform.timeouts import DISCOVERY_STALE_MS
+from kelpfront.scheduling import offer_backoff
 from kelpfront.scheduling.events import MachineState
 from kelpfront.timers import Timers
 
@@ -256,7 +257,9 @@
 async def test_a_placer_without_an_answer_of_the_list_serves_in_the_end(
     stage: PlacerFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """It offers by its file's list, but not before the pause in which the list may hide a drain."""
     monkeypatch.setattr(service, "first_answer_wait_ms", lambda _alive_ms: 200.0)
+    monkeypatch.setattr(offer_backoff, "STALE_LIST_BACKOFF_MS", 1_000.0)
     machine = Machine("m-1")
     await machine.start()
     stage.machines["m-1"] = machine
@@ -265,7 +268,9 @@
     placer = stage.placer = Placer(stage.path / "config.json", raw)
     await placer.start()
     client = await placer.client()
-    client.say(offer())
+    client.say(offer(left="20000"))
+    await asyncio.sleep(QUIET_PERIOD_S)
+    assert machine.offers() == []
     await expect_ops(client, "accept")
 
 
@@ -389,6 +394,40 @@
     assert not placer.core.freshness.is_stale
 
 
+async def test_a_placer_started_in_an_outage_offers_nothing_to_a_machine_that_drains_meanwhile(
+    stage: PlacerFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against offers by the list of the file, which an outage that began earlier has made stale."""
+    monkeypatch.setattr(service, "first_answer_wait_ms", lambda _alive_ms: 200.0)
+    draining, ready = Machine("m-1"), Machine("m-2")
+    stage.coordinator.mute = True
+    placer = await stage.start(draining, ready)
+    stage.coordinator.events.append(event(2, member("m-1", draining.address, "Terminating")))
+    client = await placer.client()
+    for number in range(4):
+        client.say(offer(f"{number:016x}", left="20000", extras=f"cores:1;memory:2;service:{number:016x}"))
+    await until(lambda: placer.core.requests.unanswered_count == 4)
+    await asyncio.sleep(QUIET_PERIOD_S)
+    assert draining.offers() == ready.offers() == []
+    stage.coordinator.mute = False
+    await expect_ops(client, *["accept"] * 4)
+    assert draining.offers() == []
+
+
+def test_a_list_is_stale_at_the_start_of_service_only_without_an_answer() -> None:
+    """Guards against a pause of a placer whose list is current, and against a second report of one outage."""
+    submitted: list[str] = []
+    freshness = discovery_freshness.DiscoveryFreshness(
+        Timers(), lambda _now, submitted_event: submitted.append(type(submitted_event).__name__)
+    )
+    freshness.on_serving(1_000.0)
+    freshness.on_serving(1_001.0)
+    freshness.on_answer(2_000.0)
+    freshness.on_serving(2_001.0)
+    assert submitted == ["EndpointListStale", "EndpointList"]
+    assert not freshness.is_stale
+
+
 @given(st.lists(st.floats(1.0, 30_000.0), max_size=30))
 def test_each_long_silence_of_discovery_is_reported_once_and_no_short_one(gaps: list[float]) -> None:
     submitted: list[tuple[float, str]] = []
--- a/tests/platform/test_platform_sockets.py
+++ b/tests/platform/test_platform_sockets.py
@@ -22,6 +22,7 @@
 from kelpfront.platform import client_connections, connection_pool, idle_connections, service
 from kelpfront.platform.descriptor_shares import DescriptorShares
 from kelpfront.platform.messages import MAX_LINE_BYTES, decode
+from kelpfront.scheduling import offer_backoff
 
 SECOND = "00000000000000a2"
 
@@ -327,12 +328,16 @@
 async def test_a_placer_with_a_list_serves_though_its_coordinator_is_silent(
     stage: PlacerFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It serves once the events that were held back count as reported in any case."""
+    """It accepts clients once held-back events count as reported, and offers after the pause for those."""
     monkeypatch.setattr(service, "first_answer_wait_ms", lambda _alive_ms: 300.0)
+    monkeypatch.setattr(offer_backoff, "STALE_LIST_BACKOFF_MS", 1_000.0)
     stage.coordinator.mute = True
     placer = await stage.start(Machine("m-1"))
     client = await placer.client()
-    client.say(offer())
+    client.say(line("test", "00000000000000f0", why=0) + offer(left="20000"))
+    await expect_ops(client, "tested")
+    await asyncio.sleep(0.5)
+    assert stage.machines["m-1"].offers() == []
     await expect_ops(client, "accept")
 
 
@@ -458,8 +463,15 @@
     info = platforms.info()
     for category in info["Categories"]:
         category["DeadlineMs"] = 1000.0
+    coordinator = Coordinator()
+    await coordinator.start()
     host, port = platforms.free_address()
-    raw = platforms.raw_config(member("m-1", machine.address), settings=info, listen=f"{host}:{port}")
+    raw = platforms.raw_config(
+        member("m-1", machine.address),
+        settings=info,
+        listen=f"{host}:{port}",
+        coordinator=coordinator.address,
+    )
     (tmp_path / "config.json").write_text(json.dumps(raw))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -489,3 +501,4 @@
         if process.returncode is None:
             process.kill()
         machine.die()
+        await coordinator.stop()
