A machine's message is matched to one attempt before it counts

Cause: any message about an accepted attempt was taken as current; the attempt sent on the message's connection counted only before the acceptance.

Change: attempt_matching.py decides by a table which attempt a message is about. An end on the connection of an earlier attempt is ignored, and a new connection is opened, on which a machine repeats a true end by the protocol. Cause 31 without an end sent by the placer is about an earlier attempt.

--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -232,6 +232,12 @@
             return
         self._reconnect_task = self._start_task(self._reconnect())
 
+    def recover_reports(self) -> None:
+        """Open a new connection, on which the machine repeats its reports on tasks that have ended."""
+        self._report_recovery.on_reports_lost()
+        self._core.counters.report_losses += 1
+        self.keep_connected()
+
     async def _reconnect(self) -> None:
         reachability = ReachabilityCheck()
         try:
--- a/kelpfront/platform/core_runner.py
+++ b/kelpfront/platform/core_runner.py
@@ -9,8 +9,7 @@
 import structlog
 
 from kelpfront.platform.core import PlacerCore
-from kelpfront.platform.intents import Intent, SendToClient
-from kelpfront.platform.machine_pools import MachineIntent
+from kelpfront.platform.intents import Intent, MachineIntent, SendToClient
 
 log = structlog.get_logger("kelpfront.platform")
 
--- a/kelpfront/platform/counters.py
+++ b/kelpfront/platform/counters.py
@@ -31,8 +31,8 @@
         unreadable_lines: client connections closed because a line was not a message.
         unexpected_accepts, unexpected_ends, unexpected_status_reports: messages of machines that match no
             attempt in flight there.
-        report_losses: closed connections with which reports of running tasks may have been lost; each is
-            followed by a new connection, on which the machine repeats them.
+        report_losses: how often reports of running tasks may have been lost with a connection, or an end was
+            ambiguous; each is followed by a new connection, on which the machine repeats its reports.
         attempt_outcomes: outcomes of attempts that no machine had accepted.
         task_outcomes: outcomes of attempts that were accepted.
     """
--- a/kelpfront/platform/intents.py
+++ b/kelpfront/platform/intents.py
@@ -104,16 +104,24 @@
     machine: MachineId
 
 
+class RecoverReports(msgspec.Struct, frozen=True):
+    """Open a new connection to a machine, on which it repeats its reports on tasks that have ended."""
+
+    machine: MachineId
+
+
 class ForgetMachine(msgspec.Struct, frozen=True):
     """Close all connections to a machine that was removed and runs no tasks any more."""
 
     machine: MachineId
 
 
-Intent = (
-    SendToClient | Offer | AbandonAttempt | SendToMachine | SendHealthCheck | KeepConnected | ForgetMachine
+MachineIntent = (
+    Offer | AbandonAttempt | SendToMachine | SendHealthCheck | KeepConnected | RecoverReports | ForgetMachine
 )
 
+Intent = SendToClient | MachineIntent
+
 
 class Outbox:
     """The intents that the service has not carried out yet."""
--- a/kelpfront/platform/machine_messages.py
+++ b/kelpfront/platform/machine_messages.py
@@ -1,15 +1,17 @@
 """Dispatches machines' messages: answers to offers, task ends and status, health check answers. No I/O.
 
-This module finds the attempt to which a message belongs; `running_tasks`, `health_checks` and the scheduler
-handle it.
+`attempt_matching` decides which attempt a message is about; `running_tasks`, `health_checks` and the
+scheduler handle it.
 """
 
 from __future__ import annotations
 
 from kelpfront.platform import messages
+from kelpfront.platform.attempt_matching import AttemptMatch, match_message
 from kelpfront.platform.attempts import Attempts
 from kelpfront.platform.core_state import CoreState
 from kelpfront.platform.health_checks import HealthCheckResult, HealthChecks
+from kelpfront.platform.intents import RecoverReports
 from kelpfront.platform.messages import Cause, InvalidMessageError, Message
 from kelpfront.platform.requests import Attempt, PendingRequest
 from kelpfront.platform.running_tasks import RunningTasks
@@ -33,6 +35,7 @@
     ) -> None:
         self._requests = state.requests
         self._counters = state.counters
+        self._outbox = state.outbox
         self._driver = driver
         self._attempts = attempts
         self._running_tasks = running_tasks
@@ -61,10 +64,11 @@
             return
         request = self._requests.get(message.call)
         attempt = self._attempts.in_flight_on(machine, request)
-        # A running task belongs to no connection: its machine may report on any of them.
-        is_expected = attempt is not None and (attempt.accepted or attempt_number == attempt.number)
-        if attempt is None or not is_expected:
+        match = match_message(message, attempt, attempt_number)
+        if attempt is None or match is not AttemptMatch.CURRENT:
             self._on_unexpected(machine, request, message)
+            if match is AttemptMatch.AMBIGUOUS:
+                self._outbox.put(RecoverReports(machine))
             return
         match message.op:
             case "accept":
--- a/kelpfront/platform/machine_pools.py
+++ b/kelpfront/platform/machine_pools.py
@@ -10,14 +10,14 @@
     AbandonAttempt,
     ForgetMachine,
     KeepConnected,
+    MachineIntent,
     Offer,
+    RecoverReports,
     SendHealthCheck,
     SendToMachine,
 )
 from kelpfront.scheduling.events import AttemptOutcome, MachineId
 
-MachineIntent = Offer | AbandonAttempt | SendToMachine | SendHealthCheck | KeepConnected | ForgetMachine
-
 
 class MachinePools:
     """One pool per machine, keyed by machine id, since an address may be reused by another machine.
@@ -49,6 +49,8 @@
                 pool.send_line(intent.data)
             case KeepConnected():
                 pool.keep_connected()
+            case RecoverReports():
+                pool.recover_reports()
 
     def _on_unlisted(self, intent: MachineIntent) -> None:
         """Report an offer as not sent whose machine was removed from the list in the meantime.
--- a/tests/platform/core_stage.py
+++ b/tests/platform/core_stage.py
@@ -87,5 +87,10 @@
         assert request is not None
         return request
 
+    def call_after(self, data: bytes) -> requests.PendingRequest:
+        """Return the request that a client's line has made."""
+        self.client(data)
+        return self.call()
+
     def intents_of(self, kind: type) -> list[Any]:
         return [intent for intent in self.intents if isinstance(intent, kind)]
