A health check whose connection ends is repeated on a new connection

Cause: a reset did not reach the check, which counted as unanswered after 0.6 s, and the next went out on the next forgotten connection.

Change: such a check is repeated once, at once, on a connection that was not used before; only no answer there counts as missed. A new connection that is already being opened makes up for lost reports, so none is opened beside it.

--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -241,6 +241,8 @@
         """Keep a connection open while tasks run on the machine, and open another if reports may be lost."""
         if self._reconnect_task is not None or not self._needs_connection():
             return
+        if self.connections and self._opening_count:  # asked again once that connection has opened or failed
+            return
         if not self._budget.may_open_to_receive():
             self._core.limits.reached(Limit.DESCRIPTORS)
             self._budget.wait(self, to_send=False)
@@ -322,6 +324,7 @@
             await self._open()
         except (OSError, TimeoutError):
             self._on_open_failed()
+            self.keep_connected()
 
     async def _open(self) -> None:
         """Open one connection and send what waits for it.
@@ -360,6 +363,7 @@
         self._send_queued_on_idle(connection)
         self._send_queued_on_shared()
         self._flush()
+        self.keep_connected()  # its opening may have begun too early to make up for lost reports
 
     def _send_queued_on_idle(self, connection: MachineConnection) -> None:
         """Send queued requests on an idle connection, even if a new one is being opened for them."""
@@ -436,9 +440,9 @@
             self._report_recovery.on_reports_lost()
             self._core.counters.report_losses += 1
         self._core.on_machine_disconnected(self._machine)
+        self._on_open_failed()  # it may have been closed before anything was sent on it
         if reconnect:
             self.keep_connected()
-        self._on_open_failed()  # it may have been closed before anything was sent on it
 
     def sweep(self) -> None:
         """Close connections that have been idle for too long, except the last one while tasks run."""
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -22,7 +22,13 @@
 from kelpfront.platform.endpoint_table import EndpointTable
 from kelpfront.platform.endpoint_updates import EndpointUpdates
 from kelpfront.platform.health_checks import HealthChecks
-from kelpfront.platform.intents import AttemptKey, ConnectionId, Outbox, SendToClient
+from kelpfront.platform.intents import (
+    HEALTH_CHECK_ATTEMPT,
+    AttemptKey,
+    ConnectionId,
+    Outbox,
+    SendToClient,
+)
 from kelpfront.platform.limits import LimitMonitor
 from kelpfront.platform.log_records import LogRecords, MachineEjected
 from kelpfront.platform.machine_messages import MachineMessages
@@ -150,11 +156,14 @@
         return self._attempts.encode_offer(now, attempt)
 
     def on_attempt_failed(self, now: float, key: AttemptKey, outcome: AttemptOutcome) -> None:
-        """Close an attempt that received no answer.
+        """Close an attempt that received no answer, or repeat a health check whose connection ended.
 
         The outcome is UNREACHABLE if no connection was established and nothing was sent, RESET if the
         connection ended after the write, or NOT_SENT if sending was not tried.
         """
+        if key.attempt_number == HEALTH_CHECK_ATTEMPT:
+            self.health_checks.on_connection_lost(key.request_id)
+            return
         attempt = self.requests.unanswered_attempt(key)
         if attempt is not None:
             self._attempts.close(now, attempt, AttemptEnd(outcome))
--- a/kelpfront/platform/health_checks.py
+++ b/kelpfront/platform/health_checks.py
@@ -38,9 +38,10 @@
     no_response: bool = False
 
 
-class _InFlight(msgspec.Struct, frozen=True):
+class _InFlight(msgspec.Struct):
     machine: MachineId
     sent_at: float
+    is_repeated: bool = False
 
 
 class HealthChecks:
@@ -67,8 +68,20 @@
         """Send a health check; it fails if it is not answered within `timeout_ms`."""
         self._in_flight[check_id] = _InFlight(machine, now)
         self._timers.set(now + timeout_ms, lambda expired_at: self._on_timeout(expired_at, check_id))
-        data = messages.encode("test", check_id, {}, 0)
-        self._outbox.put(SendHealthCheck(machine, check_id, data))
+        self._outbox.put(SendHealthCheck(machine, check_id, _encode(check_id)))
+
+    def on_connection_lost(self, check_id: str) -> None:
+        """Repeat a health check once, on a new connection, after its connection has ended.
+
+        The end of an old connection proves nothing about the machine, which may have closed or forgotten it.
+        A machine that does not answer on a new connection either misses the check at its time-out.
+        """
+        check = self._in_flight.get(check_id)
+        if check is None or check.is_repeated:
+            return
+        check.is_repeated = True
+        data = _encode(check_id)
+        self._outbox.put(SendHealthCheck(check.machine, check_id, data, on_new_connection=True))
 
     def on_answer(self, now: float, check_id: str, result: HealthCheckResult) -> None:
         """Handle a machine's answer; ignore it if the health check is not in flight."""
@@ -94,3 +107,7 @@
         key = AttemptKey(check_id, HEALTH_CHECK_ATTEMPT)
         self._outbox.put(AbandonAttempt(check.machine, key, b"", no_response=True))
         self.on_answer(now, check_id, HealthCheckResult(ok=False, no_response=True))
+
+
+def _encode(check_id: str) -> bytes:
+    return messages.encode("test", check_id, {}, 0)
--- a/kelpfront/platform/intents.py
+++ b/kelpfront/platform/intents.py
@@ -86,11 +86,16 @@
 
 
 class SendHealthCheck(msgspec.Struct, frozen=True):
-    """Send a health check to a machine."""
+    """Send a health check to a machine.
+
+    Attributes:
+        on_new_connection: whether it may only be sent on a connection that has not been used yet.
+    """
 
     machine: MachineId
     check_id: str
     data: bytes
+    on_new_connection: bool = False
 
     @property
     def key(self) -> AttemptKey:
--- a/kelpfront/platform/machine_connection.py
+++ b/kelpfront/platform/machine_connection.py
@@ -92,13 +92,16 @@
     def accepts(self, intent: Offer | SendHealthCheck) -> bool:
         """Return whether the request can be sent at once and its answer be distinguished from all others.
 
-        Three cases are excluded. Behind unsent bytes, the request would be sent later, when its machine
+        Four cases are excluded. A machine may have forgotten a connection that was used before, so a repeated
+        health check is not sent there. Behind unsent bytes, the request would be sent later, when its machine
         drains or its client has left. If the machine has closed the connection and that is still unread,
         nothing could prove that the request was not executed. If an earlier attempt of the request was sent
         on the connection, answers to both have the same id.
         """
         if not self.is_usable or self.unsent_bytes or intent.key.request_id in self.sent:
             return False
+        if isinstance(intent, SendHealthCheck) and intent.on_new_connection and self.sent:
+            return False
         if self.reader.at_eof():
             return False
         # If no answer is pending, unread input can only be the end of the stream.
