Attempts to recover reports from a machine that stopped listening are a second apart

Reason: with a connection open, a machine that refuses new ones was dialled four times a second until its tasks ended.

A test holds that refusals prove nothing while a connection is open.

Result: the new test fails without the check of open connections and passes with it.

--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -25,7 +25,11 @@
 from kelpfront.platform.machine_connection import MachineConnection
 from kelpfront.platform.messages import MAX_LINE_BYTES, InvalidMessageError, LineSplitter, Message, decode
 from kelpfront.platform.report_recovery import ReportRecovery
-from kelpfront.platform.timeouts import RECONNECT_INTERVAL_MS, ReachabilityCheck
+from kelpfront.platform.timeouts import (
+    RECONNECT_INTERVAL_MS,
+    REPORT_RECOVERY_INTERVAL_MS,
+    ReachabilityCheck,
+)
 from kelpfront.scheduling.events import AttemptOutcome, MachineId
 
 log = structlog.get_logger("kelpfront.platform.connection_pool")
@@ -268,7 +272,8 @@
                     if await self._is_process_dead(reachability):
                         self._on_process_dead()
                         return
-                await asyncio.sleep(RECONNECT_INTERVAL_MS / 1000.0)
+                interval_ms = REPORT_RECOVERY_INTERVAL_MS if self.connections else RECONNECT_INTERVAL_MS
+                await asyncio.sleep(interval_ms / 1000.0)
         finally:
             self._reconnect_task = None
 
--- a/kelpfront/platform/timeouts.py
+++ b/kelpfront/platform/timeouts.py
@@ -11,6 +11,9 @@
 RECONNECT_INTERVAL_MS = 250.0
 """Interval between attempts to reconnect to a machine on which tasks run."""
 
+REPORT_RECOVERY_INTERVAL_MS = 1_000.0
+"""The same interval while another connection to the machine is open; it may have stopped listening."""
+
 DEAD_AFTER_REFUSALS = 2
 """Consecutive refusals after which a process counts as dead; one may be a restart of its listener."""
 
--- a/tests/platform/test_platform_report_recovery.py
+++ b/tests/platform/test_platform_report_recovery.py
@@ -152,6 +152,36 @@
     assert stage.running.service.budget.in_use == len(pool.connections) + pool._opening_count
 
 
+async def test_a_machine_that_stops_listening_keeps_its_tasks_while_a_connection_is_open(
+    stage: PlacerFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusals that count as a dead process, although it answers on another connection."""
+    monkeypatch.setattr(connection_pool, "REPORT_RECOVERY_INTERVAL_MS", 20.0)
+    refusals: list[str] = []
+    machine = HangingMachine("m-1")
+    placer = await stage.start(machine)
+    client = await place_on_two_connections(stage)
+    assert machine.server is not None
+    machine.server.close()
+    real_open = asyncio.open_connection
+
+    async def open_connection(*args: Any, **kwargs: Any) -> Any:
+        try:
+            return await real_open(*args, **kwargs)
+        except ConnectionRefusedError:
+            refusals.append("refused")
+            raise
+
+    monkeypatch.setattr(asyncio, "open_connection", open_connection)
+    pool = placer.service.machines.pools[machine_id("m-1")]
+    pool.close_idle(connections(stage)[0])
+    pool.keep_connected()
+    await until(lambda: len(refusals) > 3)
+    assert placer.core.counters.tasks_lost == 0
+    client.say(line("test", "00000000000000f0", why=0))
+    await expect_ops(client, "tested")  # and the end of no task before it
+
+
 async def test_an_end_lost_with_an_evicted_connection_is_told(stage: PlacerFixture) -> None:
     """Guards against the same loss where a connection is closed to free its descriptor."""
     machine = HangingMachine("m-1")
