The reconnect loop of a machine's pool is a module of its own

Change: Reconnector holds the loop, its intervals and the recovery of lost reports; the pool opens connections and says whether reports are due. Behaviour is as before.

--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -24,12 +24,7 @@
 from kelpfront.platform.limits import Limit
 from kelpfront.platform.machine_connection import MachineConnection
 from kelpfront.platform.messages import MAX_LINE_BYTES, InvalidMessageError, LineSplitter, Message, decode
-from kelpfront.platform.report_recovery import ReportRecovery
-from kelpfront.platform.timeouts import (
-    RECONNECT_INTERVAL_MS,
-    REPORT_RECOVERY_INTERVAL_MS,
-    ReachabilityCheck,
-)
+from kelpfront.platform.reconnector import Reconnector
 from kelpfront.scheduling.events import AttemptOutcome, MachineId
 
 log = structlog.get_logger("kelpfront.platform.connection_pool")
@@ -101,10 +96,9 @@
         self._queue: deque[Offer | SendHealthCheck] = deque()
         self._opening_count = 0
         self._unsent_lines: list[bytes] = []
-        self._report_recovery = ReportRecovery()
         self._tasks = BackgroundTasks()
-        self._reconnect_task: asyncio.Task[None] | None = None
         self._closed = False
+        self._reconnector = Reconnector(self, context.budget, self._core.limits, self._start_task)
 
     # ---- Offers and health checks ---------------------------------------------------------------------
 
@@ -243,58 +237,46 @@
 
     def keep_connected(self) -> None:
         """Keep a connection open while tasks run on the machine, and open another if reports may be lost."""
-        if self._reconnect_task is not None or not self._needs_connection():
-            return
-        if self.connections and self._opening_count:  # asked again once that connection has opened or failed
-            return
-        if not self._budget.may_open_to_receive():
-            self._core.limits.reached(Limit.DESCRIPTORS)
-            self._budget.wait(self, to_send=False)
-            return
-        self._reconnect_task = self._start_task(self._reconnect())
+        self._reconnector.ensure_connected()
 
     def recover_reports(self) -> None:
         """Open a new connection, on which the machine repeats its reports on tasks that have ended."""
-        self._report_recovery.on_reports_lost()
-        self._core.counters.report_losses += 1
+        self._record_report_loss()
         self.keep_connected()
 
-    async def _reconnect(self) -> None:
-        reachability = ReachabilityCheck()
-        try:
-            while self._needs_connection():
-                async with self._budget.reconnecting:
-                    if not self._needs_connection():
-                        return
-                    if not self._budget.may_open_to_receive():
-                        self._budget.wait(self, to_send=False)
-                        return
-                    if await self._is_process_dead(reachability):
-                        self._on_process_dead()
-                        return
-                interval_ms = REPORT_RECOVERY_INTERVAL_MS if self.connections else RECONNECT_INTERVAL_MS
-                await asyncio.sleep(interval_ms / 1000.0)
-        finally:
-            self._reconnect_task = None
-
-    def _needs_connection(self) -> bool:
-        if self._closed or (self.connections and not self._report_recovery.is_needed):
+    def _record_report_loss(self) -> None:
+        self._reconnector.recovery.on_reports_lost()
+        self._core.counters.report_losses += 1
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is open that is not being closed."""
+        return bool(self.connections)
+
+    @property
+    def is_opening(self) -> bool:
+        """Whether a connection is being opened."""
+        return bool(self._opening_count)
+
+    @property
+    def needs_reports(self) -> bool:
+        """Whether tasks run on the machine, or lines about them wait to be sent."""
+        if self._closed:
             return False
         return self._core.has_running_tasks(self._machine) or bool(self._unsent_lines)
 
-    async def _is_process_dead(self, reachability: ReachabilityCheck) -> bool:
-        """Try to open a connection; return whether refusals prove that the machine's process is dead."""
+    async def open_connection(self) -> None:
+        """Open one connection and send what waits for it.
+
+        Raises:
+            OSError: the connection cannot be opened.
+            TimeoutError: the connection is not opened in time.
+        """
         self._reserve_opening()
-        try:
-            await self._open()
-        except ConnectionRefusedError:
-            # A process with an open connection is alive, even if it has stopped listening.
-            return not self.connections and reachability.on_refused()
-        except (OSError, TimeoutError):
-            reachability.on_no_response()
-        return False
+        await self._open()
 
-    def _on_process_dead(self) -> None:
+    def on_process_dead(self) -> None:
+        """End the tasks of the machine, whose process is dead."""
         self._unsent_lines.clear()
         self._core.on_machine_process_dead(self._now(), self._machine)
         self._flush()
@@ -304,7 +286,7 @@
     def open_if_needed(self) -> None:
         """Open a connection to send what is queued or to receive reports on tasks, if it is still needed."""
         has_to_send = bool(self._queue) and not self.connections
-        is_needed = has_to_send or self._needs_connection()
+        is_needed = has_to_send or self._reconnector.needs_connection
         if not is_needed or self._closed or self._opening_count:
             self._budget.stop_waiting(self)
         elif not has_to_send:
@@ -319,7 +301,7 @@
         That one is opened once a descriptor is available.
         """
         self._close_connection(connection, reconnect=False)
-        if self._needs_connection():
+        if self._reconnector.needs_connection:
             self._budget.wait(self, to_send=False)
 
     # ---- Connections ----------------------------------------------------------------------------------
@@ -340,7 +322,7 @@
             OSError: the connection cannot be opened.
             TimeoutError: the connection is not opened in time.
         """
-        recovery_mark = self._report_recovery.begin_opening()
+        recovery_mark = self._reconnector.recovery.begin_opening()
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 reader, writer = await asyncio.open_connection(
@@ -355,7 +337,7 @@
             writer.transport.abort()
             return
         self._opening_count -= 1
-        self._report_recovery.on_opened(recovery_mark)
+        self._reconnector.recovery.on_opened(recovery_mark)
         self._on_opened(MachineConnection(reader, writer, asyncio.get_running_loop().time()))
 
     def _on_opened(self, connection: MachineConnection) -> None:
@@ -442,8 +424,7 @@
         if self._closed:
             return
         if not connection.is_read_to_end and self._core.has_running_tasks(self._machine):
-            self._report_recovery.on_reports_lost()
-            self._core.counters.report_losses += 1
+            self._record_report_loss()
         self._core.on_machine_disconnected(self._machine)
         self._on_open_failed()  # it may have been closed before anything was sent on it
         if reconnect:
--- a/tests/platform/test_platform_report_recovery.py
+++ b/tests/platform/test_platform_report_recovery.py
@@ -12,7 +12,7 @@
 from waiting import until
 
 from kelpfront.lab.platform import CALL, Json, Machine, Peer, accepts, line, offer
-from kelpfront.platform import connection_pool
+from kelpfront.platform import connection_pool, reconnector
 from kelpfront.platform.messages import decode, machine_id
 from kelpfront.platform.report_recovery import ReportRecovery
 
@@ -156,7 +156,7 @@
     stage: PlacerFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against refusals that count as a dead process, although it answers on another connection."""
-    monkeypatch.setattr(connection_pool, "REPORT_RECOVERY_INTERVAL_MS", 20.0)
+    monkeypatch.setattr(reconnector, "REPORT_RECOVERY_INTERVAL_MS", 20.0)
     refusals: list[str] = []
     machine = HangingMachine("m-1")
     placer = await stage.start(machine)
