The pause of a placer that starts without a list begins as it begins to serve

Reason: with the listening address still in use, up to 10 s may pass between the wait for the first answer and the first client, and the pause of offers for a stale list (3 s) would be over by then.

Change: on_serving is called once the address is bound, before any client's line can be read.

--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -212,8 +212,6 @@
         wait_ms = first_answer_wait_ms((time.monotonic() - self._began_at) * 1000.0)
         if not await self.discovery.wait_for_first_answer(wait_ms):
             log.warning("no answer of the coordinator at start", waited_ms=round(wait_ms))
-        self.core.freshness.on_serving(self.clock.now())
-        self._runner.flush()
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + REBIND_TIMEOUT_MS / 1000.0
         while True:
@@ -223,6 +221,8 @@
                 if error.errno != errno.EADDRINUSE or loop.time() >= give_up_at:
                     raise
             else:
+                self.core.freshness.on_serving(self.clock.now())
+                self._runner.flush()
                 return
             await asyncio.sleep(REBIND_INTERVAL_MS / 1000.0)
 
