--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -214,7 +214,8 @@
         connection.is_retired = True
         del self.connections[connection]
         self.draining[connection] = None
-        asyncio.get_running_loop().call_later(DRAIN_TIMEOUT_S, self._close_connection, connection)
+        loop = asyncio.get_running_loop()
+        connection.drain_timer = loop.call_later(DRAIN_TIMEOUT_S, self._close_connection, connection)
         if not connection.end_output():
             self._close_connection(connection)
             return
@@ -415,6 +416,8 @@
         if connection.is_closed:
             return
         connection.is_closed = True
+        if connection.drain_timer is not None:
+            connection.drain_timer.cancel()  # it would keep the connection in memory until then
         self.connections.pop(connection, None)
         self.draining.pop(connection, None)
         self._budget.release(connection)
--- a/kelpfront/platform/machine_connection.py
+++ b/kelpfront/platform/machine_connection.py
@@ -32,6 +32,7 @@
         is_retired: whether a request was not answered in time, so that nothing more is sent.
         is_closed_as_idle: whether it was half-closed after all its requests had been answered.
         is_read_to_end: whether everything that the machine sent was read, up to the end of its stream.
+        drain_timer: closes the connection if the machine does not close it after the half-close.
         is_closed: whether the connection was closed.
     """
 
@@ -43,6 +44,7 @@
     is_retired: bool = False
     is_closed_as_idle: bool = False
     is_read_to_end: bool = False
+    drain_timer: asyncio.TimerHandle | None = None
     is_closed: bool = False
 
     @property
