A reset in answer to any half-close ends the stream of a machine's connection

The bench's machines answer a half-close by a reset; on connections retired after a missing answer it still counted as a loss of reports, so each missing answer cost one more open connection.

Change: such a reset ends the stream on any half-closed connection, since what the machine wrote before it has been read. A reset without a half-close, the end of the drain time, a malformed line and an eviction stay losses.

Tests of report recovery and forgotten connections pass.

--- a/kelpfront/platform/connection_pool.py
+++ b/kelpfront/platform/connection_pool.py
@@ -390,9 +390,8 @@
             text = str(error)[:MAX_LOGGED_ERROR_CHARS]
             log.info("invalid machine message", machine=f"{self._machine:x}", error=text)
         except OSError:  # the machine reset the connection
-            # What it reported before that was read. Only on a connection with a pending request may it have
-            # discarded a report with the reset.
-            connection.is_read_to_end = connection.is_closed_as_idle
+            # In answer to a half-close it ends the stream: what the machine wrote before has been read.
+            connection.is_read_to_end = connection in self.draining
         finally:  # also on cancellation: nothing may go on waiting on this connection
             self._close_connection(connection)
 
@@ -446,7 +445,6 @@
             if connection.has_unacknowledged_bytes:  # the machine is cut off
                 self._close_connection(connection)
             else:
-                connection.is_closed_as_idle = True
                 self._drain(connection)
 
     def close(self) -> None:
--- a/kelpfront/platform/machine_connection.py
+++ b/kelpfront/platform/machine_connection.py
@@ -30,7 +30,6 @@
         waiting: attempts and health checks whose answer is pending.
         sent: the number of the last attempt that was sent on this connection, by request id.
         is_retired: whether a request was not answered in time, so that nothing more is sent.
-        is_closed_as_idle: whether it was half-closed after all its requests had been answered.
         is_read_to_end: whether everything that the machine sent was read, up to the end of its stream.
         drain_timer: closes the connection if the machine does not close it after the half-close.
         is_closed: whether the connection was closed.
@@ -42,7 +41,6 @@
     waiting: dict[AttemptKey, None] = field(default_factory=dict)
     sent: dict[str, int] = field(default_factory=dict)
     is_retired: bool = False
-    is_closed_as_idle: bool = False
     is_read_to_end: bool = False
     drain_timer: asyncio.TimerHandle | None = None
     is_closed: bool = False
