Open requests stay within a share of the placer's memory limit

Cause: limits counted requests, not bytes, and a description was kept as text, which takes four bytes a character as soon as one character is outside the basic plane.

Change: a request keeps its content encoded, until a machine accepts the task or it ends; requests and running tasks share a fifth of memory_mb, a connection as much as is still free; past that a request is rejected as congestion. Texts of running tasks, of timers of ended attempts and the machine's name of adopted tasks are freed too.

--- a/kelpfront/lab/corecost.py
+++ b/kelpfront/lab/corecost.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 import h11
+import msgspec
 
 from kelpfront.lab import platform as standins
 from kelpfront.lab.fleet import settings
@@ -213,7 +214,8 @@
     An answer of the list service is as its own page shows it: without spaces, and with the least head that
     HTTP/1.1 has.
     """
-    set_up = messages.PlacementRequest(CALL, 0, 1500.0, FIELDS["key"], FIELDS["idem"], 0, 1.0, 2.0, "", DESC)
+    content = msgspec.json.encode(messages.OfferContent(FIELDS["key"], FIELDS["idem"], DESC))
+    set_up = messages.PlacementRequest(CALL, 0, 1500.0, content, 0, 1.0, 2.0)
     at = {**FIELDS, "extras": f"{FIELDS['extras']};at:s-00c41f7a"}
     target = f"/v2/stream?follow=1234567&wait_ms={POLL_WAIT_MS:.0f}"
     client = h11.Connection(h11.CLIENT)
--- a/kelpfront/platform/client_messages.py
+++ b/kelpfront/platform/client_messages.py
@@ -107,14 +107,14 @@
                 self._running_tasks.adopt(now, connection, session, spec)
             return True
         self._counters.requests += 1
-        if self.is_closing or not self._requests.has_capacity(connection):
-            data = messages.encode("end", spec.request_id, {}, Cause.CONGESTION)
-            self._sessions.reply(connection, data)
-            return True
         deadline = now - unread_ms + spec.timeout_ms
         request = PendingRequest(
             spec.request_id, next(self._numbers), connection, session.peer, spec, deadline
         )
+        if self.is_closing or not self._requests.has_capacity_for(request):
+            data = messages.encode("end", spec.request_id, {}, Cause.CONGESTION)
+            self._sessions.reply(connection, data)
+            return True
         self._requests.add(request)
         session.requests[request.request_id] = request
         self._arrivals.append(request)
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -35,7 +35,7 @@
 from kelpfront.platform.machine_tasks import MachineTasks
 from kelpfront.platform.messages import Message
 from kelpfront.platform.request_lifecycle import PresenceLookup, RequestLifecycle
-from kelpfront.platform.requests import PendingRequest, RequestTable, max_adopted_tasks
+from kelpfront.platform.requests import PendingRequest, RequestTable
 from kelpfront.platform.running_tasks import RunningTasks
 from kelpfront.platform.scheduler_driver import SchedulerDriver
 from kelpfront.platform.sessions import Sessions
@@ -84,7 +84,7 @@
         self.timers = Timers()
         self.counters = Counters()
         self.limits = LimitMonitor(self.log)
-        self.requests = RequestTable(self.limits, max_adopted_tasks(config.memory_mb))
+        self.requests = RequestTable(self.limits, config.memory_mb)
         self.endpoints = EndpointTable()
         self.sessions = Sessions(self.outbox, self.limits)
         self._machine_tasks = MachineTasks(self.endpoints, self.outbox)
--- a/kelpfront/platform/limits.py
+++ b/kelpfront/platform/limits.py
@@ -16,6 +16,7 @@
 
     REQUESTS = "requests"
     REQUESTS_PER_CONNECTION = "requests_per_connection"
+    REQUEST_MEMORY = "request_memory"
     ADOPTED_TASKS = "adopted_tasks"
     EARLY_TASK_ENDS = "early_task_ends"
     UNDELIVERED_TASK_ENDS = "undelivered_task_ends"
--- a/kelpfront/platform/messages.py
+++ b/kelpfront/platform/messages.py
@@ -180,34 +180,58 @@
     return _encoder.encode(message) + b"\n"
 
 
+class OfferContent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a client's request passes on unchanged to the machine.
+
+    Attributes:
+        key: the name of the task for machines.
+        idempotency_key: empty if the class needs none.
+        description: how to run the task.
+    """
+
+    key: str = ""
+    idempotency_key: str = ""
+    description: str = ""
+
+
+_content_decoder = msgspec.json.Decoder(OfferContent)
+
+
 class PlacementRequest(msgspec.Struct, frozen=True):
     """A client's request to place a task.
 
     Attributes:
         timeout_ms: how long the client waits.
-        key: the name of the task for machines.
-        idempotency_key: empty if the class needs none.
+        encoded_content: the offer's content as JSON; empty if it is not needed any more. It is not kept as
+            text, because a single character may make Python use four bytes for each one.
         running_on: the name of the machine that already runs the task; empty for a new task.
-        description: passed on to the machine unchanged.
     """
 
     request_id: str
     class_index: int
     timeout_ms: float
-    key: str
-    idempotency_key: str
+    encoded_content: bytes
     service: int
     cores: float
     memory: float
-    running_on: str
-    description: str
+    running_on: str = ""
+
+    @property
+    def content(self) -> OfferContent:
+        """The content of the offer to a machine."""
+        return _content_decoder.decode(self.encoded_content) if self.encoded_content else OfferContent()
+
+    def without_content(self) -> PlacementRequest:
+        """Return the request without the texts of variable size, which only its machine needs."""
+        return msgspec.structs.replace(self, encoded_content=b"", running_on="")
 
     def encode_offer(self, class_name: str, timeout_ms: float) -> bytes:
         """Return the line that offers the request to a machine, whose answer is awaited for `timeout_ms`."""
-        fields = {"class": class_name, "left": str(max(1, round(timeout_ms))), "key": self.key}
-        if self.idempotency_key:
-            fields["idem"] = self.idempotency_key
-        return encode("offer", self.request_id, fields, desc=self.description)
+        content = self.content
+        fields = {"class": class_name, "left": str(max(1, round(timeout_ms))), "key": content.key}
+        if content.idempotency_key:
+            fields["idem"] = content.idempotency_key
+        return encode("offer", self.request_id, fields, desc=content.description)
 
 
 def parse_request(message: Message, settings: SchedulerSettings) -> PlacementRequest:
@@ -238,13 +262,11 @@
         request_id=message.call,
         class_index=class_index,
         timeout_ms=timeout_ms,
-        key=key,
-        idempotency_key=idempotency_key,
+        encoded_content=_encoder.encode(OfferContent(key, idempotency_key, message.desc)),
         service=service,
         cores=_positive_number("extras: cores", extras.get("cores", ""), max(settings.kind_cores)),
         memory=_positive_number("extras: memory", extras.get("memory", ""), max(settings.kind_memory)),
         running_on=running_on,
-        description=message.desc,
     )
 
 
--- a/kelpfront/platform/requests.py
+++ b/kelpfront/platform/requests.py
@@ -12,6 +12,7 @@
 from kelpfront.platform.intents import AttemptKey, ConnectionId
 from kelpfront.platform.limits import Limit, LimitMonitor
 from kelpfront.platform.messages import PlacementRequest
+from kelpfront.platform.request_memory import RequestMemory
 from kelpfront.scheduling.events import MachineId, TaskId
 
 MAX_REQUESTS = 8_192
@@ -23,8 +24,11 @@
 ADOPTED_MEMORY_SHARE = 0.25
 """Share of the configured memory that adopted tasks may use."""
 
-BYTES_PER_ADOPTED_TASK = 2_048
-"""Memory of one adopted task, including the scheduler's state of it."""
+REQUEST_MEMORY_SHARE = 0.2
+"""Share of the configured memory that requests and running tasks may use, adopted tasks excluded."""
+
+BYTES_PER_REQUEST = 2_048
+"""Memory of one request or task without its content, including the scheduler's state of it."""
 
 MAX_ENDED_IDS = 4_096
 """Limit of remembered ids of finished requests, by which late messages on them are recognized."""
@@ -58,6 +62,11 @@
     ended: bool = False
     adopted: bool = False
 
+    @property
+    def memory_bytes(self) -> int:
+        """The memory that the request uses."""
+        return BYTES_PER_REQUEST + len(self.spec.encoded_content)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -91,15 +100,21 @@
     Adopted tasks do not share the limits of new requests. They already run, and if one is not adopted, nobody
     is notified and no placer tracks it, whereas the client of a rejected request is notified and may retry.
     """
-    return max(1, int(memory_mb * 2**20 * ADOPTED_MEMORY_SHARE / BYTES_PER_ADOPTED_TASK))
+    return max(1, int(memory_mb * 2**20 * ADOPTED_MEMORY_SHARE / BYTES_PER_REQUEST))
+
+
+def max_request_bytes(memory_mb: float) -> int:
+    """Return how much memory requests may use in a placer with this memory limit."""
+    return int(memory_mb * 2**20 * REQUEST_MEMORY_SHARE)
 
 
 class RequestTable:
     """All requests and running tasks of one placer, by request id and by the scheduler's task id."""
 
-    def __init__(self, limits: LimitMonitor, adopted_limit: int) -> None:
+    def __init__(self, limits: LimitMonitor, memory_mb: float) -> None:
         self._limits = limits
-        self._adopted_limit = adopted_limit
+        self._memory = RequestMemory(max_request_bytes(memory_mb))
+        self._adopted_limit = max_adopted_tasks(memory_mb)
         self._adopted_count = 0
         self._per_connection: Counter[ConnectionId] = Counter()  # excludes adopted tasks
         self._by_id: dict[str, PendingRequest] = {}
@@ -130,14 +145,23 @@
             return None
         return attempt
 
-    def has_capacity(self, connection: ConnectionId) -> bool:
-        """Return whether one more request may be made on the connection."""
+    @property
+    def used_bytes(self) -> int:
+        """The memory of all requests and running tasks, adopted tasks excluded."""
+        return self._memory.used_bytes
+
+    def has_capacity_for(self, request: PendingRequest) -> bool:
+        """Return whether the request may be made on its connection."""
+        connection = request.connection
         if len(self._by_id) - self._adopted_count >= MAX_REQUESTS:
             self._limits.reached(Limit.REQUESTS)
             return False
         if self._per_connection[connection] >= MAX_REQUESTS_PER_CONNECTION:
             self._limits.reached(Limit.REQUESTS_PER_CONNECTION)
             return False
+        if not self._memory.has_room(connection, request.memory_bytes):
+            self._limits.reached(Limit.REQUEST_MEMORY)
+            return False
         return True
 
     def has_capacity_to_adopt(self) -> bool:
@@ -153,14 +177,26 @@
             self._adopted_count += 1
         else:
             self._per_connection[request.connection] += 1
+            self._memory.reserve(request.connection, request.memory_bytes)
         self._by_id[request.request_id] = request
         self._by_task[request.task] = request
 
+    def drop_content(self, request: PendingRequest) -> None:
+        """Free the content of a request that is not offered to a machine any more.
+
+        A timer may refer to the request long after it has ended, so its content is freed here.
+        """
+        if not request.adopted:
+            self._memory.release(request.connection, len(request.spec.encoded_content))
+        request.spec = request.spec.without_content()
+
     def remove(self, request: PendingRequest) -> None:
         """Remove a finished request without an attempt in flight; its id is remembered."""
+        self.drop_content(request)
         if request.adopted:
             self._adopted_count -= 1
         else:
+            self._memory.release(request.connection, request.memory_bytes)
             self._per_connection[request.connection] -= 1
             if not self._per_connection[request.connection]:
                 del self._per_connection[request.connection]
--- a/kelpfront/platform/running_tasks.py
+++ b/kelpfront/platform/running_tasks.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from kelpfront.platform import messages
 from kelpfront.platform.adopted_tasks import AdoptedTasks
 from kelpfront.platform.attempts import AttemptEnd, Attempts
@@ -55,6 +53,7 @@
         request = attempt.request
         attempt.accepted = True
         request.answered = True
+        self._requests.drop_content(request)
         session = self._sessions.get(request.connection)
         if session is not None:
             session.established = True
@@ -90,14 +89,12 @@
     def _adopted_request(
         self, now: float, connection: ConnectionId, session: Session, spec: PlacementRequest
     ) -> PendingRequest:
-        # Only the machine needs the other fields, which may be 16 KiB for each of some ten thousand tasks.
-        trimmed_spec = msgspec.structs.replace(spec, key="", idempotency_key="", description="")
         return PendingRequest(
             spec.request_id,
             next(self._numbers),
             connection,
             session.peer,
-            spec=trimmed_spec,
+            spec=spec.without_content(),  # up to 16 KiB for each of some ten thousand tasks
             deadline=now,
             attempt_count=1,
             answered=True,
--- a/kelpfront/platform/service.py
+++ b/kelpfront/platform/service.py
@@ -305,6 +305,7 @@
             log.info(
                 "figures",
                 memory_mb=process_figures.memory_mb(),
+                request_bytes=self.core.requests.used_bytes,
                 descriptors=process_figures.open_descriptors(),
                 **self._counters(),
                 **self._liveness_counters(),
--- a/tests/platform/core_stage.py
+++ b/tests/platform/core_stage.py
@@ -24,8 +24,8 @@
 class CoreFixture:
     """A core with an endpoint list, one client connection, and the intents that it has issued so far."""
 
-    def __init__(self, *members: Json) -> None:
-        self.config = config(*(members or (member("m-1"), member("m-2"))))
+    def __init__(self, *members: Json, **changes: Any) -> None:
+        self.config = config(*(members or (member("m-1"), member("m-2"))), **changes)
         self.core = PlacerCore(self.config, Scheduler(self.config.settings, 7))
         self.now = NOW
         self.sent_to_clients: list[tuple[int, Json]] = []
--- a/tests/platform/test_platform_running_tasks.py
+++ b/tests/platform/test_platform_running_tasks.py
@@ -21,7 +21,7 @@
 )
 from kelpfront.platform.limits import Limit
 from kelpfront.platform.log_records import LimitReached
-from kelpfront.platform.messages import decode, machine_id
+from kelpfront.platform.messages import OfferContent, decode, machine_id
 from kelpfront.platform.sessions import UNDELIVERED_END_TTL_MS
 from kelpfront.platform.timeouts import (
     UNLISTED_MACHINE_TIMEOUT_MS,
@@ -352,4 +352,5 @@
     stage.client(offer(extras="cores:1;memory:2;service:b4;at:m-1", desc="x" * 15_000))
     request = stage.core.requests.get(CALL)
     assert request is not None
-    assert request.spec.description == request.spec.key == request.spec.idempotency_key == ""
+    assert request.spec.content == OfferContent()
+    assert request.spec.running_on == ""
