Nothing is offered by a stale list until the coordinator answers

Cause: offers were paused when the list became stale (7 s after the last answer), but for 3 s only, although nothing makes the old list safer by then. Evidence: the record has no offer between 7 s and 10 s, and offers by the list as it was from then on. The ignored refusal with note nh is not the cause: the first such offer breaks the rule.

Change: the pause ends with an answer (EndpointListCurrent). Same cause elsewhere: an offer that waited for its connection was written by the stale list, events of a file read at SIGHUP ended the pause, and poorly served tasks were stopped although they could not be placed again.

The tests of platform and scheduling pass.

--- a/kelpfront/platform/attempts.py
+++ b/kelpfront/platform/attempts.py
@@ -10,6 +10,7 @@
 
 from kelpfront.platform import messages
 from kelpfront.platform.core_state import CoreState
+from kelpfront.platform.discovery_freshness import DiscoveryFreshness
 from kelpfront.platform.intents import AbandonAttempt, Offer
 from kelpfront.platform.messages import Cause
 from kelpfront.platform.requests import Attempt, PendingRequest
@@ -37,9 +38,16 @@
 class Attempts:
     """Creates, abandons and closes attempts, and reports the outcome of each to the scheduler."""
 
-    def __init__(self, settings: SchedulerSettings, driver: SchedulerDriver, state: CoreState) -> None:
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        driver: SchedulerDriver,
+        state: CoreState,
+        freshness: DiscoveryFreshness,
+    ) -> None:
         self._class_names = [task_class.name for task_class in settings.classes]
         self._driver = driver
+        self._freshness = freshness
         self._requests = state.requests
         self._endpoints = state.endpoints
         self._machine_tasks = state.machine_tasks
@@ -116,6 +124,8 @@
         machine = self._endpoints.machines.get(attempt.machine)
         if machine is None or machine.state is not MachineState.READY:
             return False
+        if self._freshness.may_hide_drains(now):  # the offer waited for its connection meanwhile
+            return False
         # An offer chosen for the machine's previous incarnation, which may have been warm, needs a new
         # decision.
         is_for_previous_incarnation = attempt.created_at < machine.restarted_at
--- a/kelpfront/platform/core.py
+++ b/kelpfront/platform/core.py
@@ -91,7 +91,7 @@
         self._numbers = itertools.count(1)
         self._driver = SchedulerDriver(scheduler, self.carry_out)
         self.health_checks = HealthChecks(self._driver.submit, self.outbox, self.timers)
-        self.freshness = DiscoveryFreshness(self.timers, self._driver.submit)
+        self.freshness = DiscoveryFreshness(self.timers, self._driver.submit, self.log)
         self.adopted_tasks = AdoptedTasks(self.timers, self.freshness, self.limits, self._on_task_lost)
         self._create_components(config.settings)
         if find_presence is not None:
@@ -111,7 +111,7 @@
             self._numbers,
         )
         driver = self._driver
-        attempts = Attempts(settings, driver, state)
+        attempts = Attempts(settings, driver, state, self.freshness)
         running_tasks = RunningTasks(state, driver, attempts, self.adopted_tasks)
         self._attempts = attempts
         self._running_tasks = running_tasks
--- a/kelpfront/platform/discovery_freshness.py
+++ b/kelpfront/platform/discovery_freshness.py
@@ -11,8 +11,9 @@
 
 from collections.abc import Callable
 
+from kelpfront.platform.log_records import LogRecords, OffersPaused, OffersResumed
 from kelpfront.platform.timeouts import DISCOVERY_STALE_MS
-from kelpfront.scheduling.events import EndpointList, EndpointListKind, EndpointListStale, SchedulerEvent
+from kelpfront.scheduling.events import EndpointListCurrent, EndpointListStale, SchedulerEvent
 from kelpfront.timers import Timers
 
 
@@ -24,38 +25,53 @@
         is_stale: whether the endpoint list is stale.
     """
 
-    def __init__(self, timers: Timers, submit: Callable[[float, SchedulerEvent], None]) -> None:
+    def __init__(
+        self, timers: Timers, submit: Callable[[float, SchedulerEvent], None], log: LogRecords
+    ) -> None:
         self._timers = timers
         self._submit = submit
+        self._log = log
+        self._has_answer = False
         self._has_timer = False
+        self._stale_since = 0.0
         self.is_stale = False
         self.last_answer_at = 0.0
 
     def on_answer(self, now: float) -> None:
-        """Record an answer of the coordinator, with or without events."""
+        """Record an answer of the coordinator, with or without events, that has been applied."""
         self.last_answer_at = now
+        self._has_answer = True
         if self.is_stale:
             self.is_stale = False
-            self._submit(now, EndpointList(EndpointListKind.CHANGES, 0, ()))
+            self._log.add(OffersResumed(round(now - self._stale_since)))
+            self._submit(now, EndpointListCurrent())
         if not self._has_timer:
             self._set_timer()
 
     def on_serving(self, now: float) -> None:
         """Count the list as stale if the placer begins to serve before the coordinator has answered."""
-        if not self.last_answer_at and not self.is_stale:
+        if not self._has_answer and not self.is_stale:
             self._become_stale(now)
 
+    def may_hide_drains(self, now: float) -> bool:
+        """Return whether the list is stale now, also if the timer for that is late."""
+        is_overdue = self._has_answer and now >= self.last_answer_at + DISCOVERY_STALE_MS
+        if is_overdue and not self.is_stale:
+            self._become_stale(now)
+        return self.is_stale
+
     def _set_timer(self) -> None:
         self._has_timer = True
         self._timers.set(self.last_answer_at + DISCOVERY_STALE_MS, self._check)
 
     def _check(self, now: float) -> None:
         self._has_timer = False
-        if now < self.last_answer_at + DISCOVERY_STALE_MS:
+        if not self.may_hide_drains(now):
             self._set_timer()
-        else:
-            self._become_stale(now)
 
     def _become_stale(self, now: float) -> None:
         self.is_stale = True
+        self._stale_since = now
+        since_answer_ms = now - self.last_answer_at if self._has_answer else 0.0
+        self._log.add(OffersPaused(round(since_answer_ms)))
         self._submit(now, EndpointListStale())
--- a/kelpfront/platform/log_records.py
+++ b/kelpfront/platform/log_records.py
@@ -57,6 +57,24 @@
     index: int
 
 
+class OffersPaused(LogRecord, frozen=True):
+    """No offers are made, because the coordinator has not answered for so long that machines may drain.
+
+    Attributes:
+        since_answer_ms: time since the coordinator's last answer; 0 if there was none.
+    """
+
+    event: ClassVar[str] = "offers paused"
+    since_answer_ms: float
+
+
+class OffersResumed(LogRecord, frozen=True):
+    """Offers are made again, because the coordinator has answered."""
+
+    event: ClassVar[str] = "offers resumed"
+    paused_ms: float
+
+
 class LogRecords:
     """Records that the service has not logged yet."""
 
--- a/kelpfront/scheduling/events.py
+++ b/kelpfront/scheduling/events.py
@@ -114,6 +114,11 @@
     """Discovery does not respond. Changes that it cannot deliver, such as drains, now count as notified."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointListCurrent:
+    """Discovery responds again, and the changes that it held back have been delivered."""
+
+
 @dataclass(frozen=True, slots=True)
 class TaskArrived:
     """A task has to be placed; exactly one final answer is due within `timeout_ms`."""
@@ -228,6 +233,7 @@
 SchedulerEvent = (
     EndpointList
     | EndpointListStale
+    | EndpointListCurrent
     | TaskArrived
     | TaskFound
     | TaskPlaced
--- a/kelpfront/scheduling/migrations.py
+++ b/kelpfront/scheduling/migrations.py
@@ -8,6 +8,7 @@
 from kelpfront.scheduling.actions import Migrate
 from kelpfront.scheduling.context import SchedulingContext
 from kelpfront.scheduling.model import VIEW_LAG_MS, Attempt, Machine
+from kelpfront.scheduling.offer_backoff import OfferBackoff
 from kelpfront.scheduling.placement import Placement
 
 MIGRATION_MAX_SERVED_SHARE = 0.3
@@ -22,14 +23,20 @@
 class Migrations:
     """Decides whether a running task is moved to another machine."""
 
-    def __init__(self, context: SchedulingContext, placement: Placement) -> None:
+    def __init__(self, context: SchedulingContext, placement: Placement, backoff: OfferBackoff) -> None:
         self._context = context
         self._placement = placement
+        self._backoff = backoff
 
     def migrate_if_underserved(self, attempt: Attempt, machine: Machine, served_share: float) -> None:
-        """Migrate a poorly served task if another machine has capacity for it by usage."""
+        """Migrate a poorly served task if another machine has capacity for it by usage.
+
+        While the endpoint list is stale, the task could not be placed again.
+        """
         if not attempt.is_accepted or served_share >= MIGRATION_MAX_SERVED_SHARE:
             return
+        if self._backoff.is_list_stale:
+            return
         if self._context.now < machine.last_migration_at + MIGRATION_COOLDOWN_MS:
             return
         unsaturated = self._placement.candidates(attempt.task).unsaturated
--- a/kelpfront/scheduling/offer_backoff.py
+++ b/kelpfront/scheduling/offer_backoff.py
@@ -10,24 +10,24 @@
 from kelpfront.scheduling.context import SchedulingContext
 from kelpfront.scheduling.model import Task
 
-STALE_LIST_BACKOFF_MS = 3000.0
-"""Length of the pause after the endpoint list became stale, because it may hide drains.
-
-After the pause, offers are based on the last known list.
-"""
 MIN_BACKOFF_DIVISOR = 32
 """The minimum backoff is the maximum divided by this."""
 
 
 class OfferBackoff:
-    """Pauses offers when most of them would be rejected or machines may drain unnoticed."""
+    """Pauses offers when most of them would be rejected or machines may drain unnoticed.
+
+    Attributes:
+        is_list_stale: whether the endpoint list may hide drains. No machine may be offered a task meanwhile,
+            however long it lasts: any of them may have been told to drain, and nothing else reports it.
+    """
 
     def __init__(self, context: SchedulingContext) -> None:
         self._context = context
         self._max_backoff_ms = min(cls.latency_objective_ms for cls in context.settings.classes)
         self._backoff_ms = 0.0
         self._backoff_until = -math.inf
-        self._stale_list_until = -math.inf
+        self.is_list_stale = False
 
     def should_defer(self, task: Task) -> bool:
         """Return whether the task must not be offered now.
@@ -37,15 +37,15 @@
         """
         now = self._context.now
         is_backing_off = now < self._backoff_until and not task.possibly_executed
-        return now < self._stale_list_until or is_backing_off
+        return self.is_list_stale or is_backing_off
 
     def on_list_stale(self) -> None:
-        """Pause offers for a limited time: short outages end within it, long ones must not stop placement."""
-        self._stale_list_until = self._context.now + STALE_LIST_BACKOFF_MS
+        """Pause offers until the list is current again."""
+        self.is_list_stale = True
 
-    def on_list_received(self) -> None:
-        """End the pause: the list is current again."""
-        self._stale_list_until = -math.inf
+    def on_list_current(self) -> None:
+        """End the pause."""
+        self.is_list_stale = False
 
     def on_rejection(self) -> None:
         """Double the backoff; its jitter separates placers that compete for the same scarce capacity."""
--- a/kelpfront/scheduling/scheduler.py
+++ b/kelpfront/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 from kelpfront.scheduling.events import (
     AttemptClosed,
     EndpointList,
+    EndpointListCurrent,
     EndpointListKind,
     EndpointListStale,
     HealthCheckCompleted,
@@ -87,7 +88,7 @@
         self._retries = Retries(context, tasks, attempts, offers, answers)
         self._endpoints = EndpointUpdates(context, fleet, guardrails, slow_start, attempts)
         self._feedback = AttemptFeedback(context, fleet, self._capacity, self._outliers)
-        migrations = Migrations(context, self._placement)
+        migrations = Migrations(context, self._placement, self._backoff)
         self._status_reports = StatusReports(context, self._utilization, self._outliers, migrations)
 
     def handle(self, now: float, event: SchedulerEvent) -> list[SchedulerAction]:
@@ -129,6 +130,9 @@
                 self._on_endpoint_list(event)
             case EndpointListStale():
                 self._backoff.on_list_stale()
+            case EndpointListCurrent():
+                self._backoff.on_list_current()
+                self._retries.retry_waiting()
             case HealthCheckCompleted():
                 self._utilization.apply_load_report(event.machine, event.load)
                 self._health_checks.on_completed(event)
@@ -151,7 +155,6 @@
         if event.kind is EndpointListKind.FAILED:
             self._endpoints.on_poll_failed()
             return
-        self._backoff.on_list_received()
         self._endpoints.on_received(event)
         self._retries.retry_waiting()
 
--- a/tests/platform/core_stage.py
+++ b/tests/platform/core_stage.py
@@ -35,10 +35,16 @@
         self.core.sessions.open(self.now, 1, "127.0.0.5")
 
     def events(self, raw: Json) -> None:
+        """Apply an answer of the coordinator."""
         self.core.apply_endpoint_events(self.now, *parse_events(raw, self.config))
         self.core.freshness.on_answer(self.now)
         self.collect_intents()
 
+    def apply_events(self, raw: Json) -> None:
+        """Apply the events of a configuration file."""
+        self.core.apply_endpoint_events(self.now, *parse_events(raw, self.config))
+        self.collect_intents()
+
     def collect_intents(self) -> None:
         for intent in self.core.outbox.drain():
             if isinstance(intent, SendToClient):
