--- a/tests/platform/test_platform_stale_list.py
+++ b/tests/platform/test_platform_stale_list.py
@@ -25,6 +25,7 @@
 def test_nothing_is_offered_from_7_s_of_silence_until_the_coordinator_answers() -> None:
     """Guards against offers to a draining machine in an outage that lasts for longer than some seconds."""
     stage = stage_with_answer()
+    started_at = stage.now
     stage.advance(DISCOVERY_STALE_MS)
     for number in range(int(LONG_OUTAGE_MS / 500.0)):
         stage.client(offer(f"{number:016x}", left="2000"))
@@ -40,6 +41,7 @@
     paused, resumed = stage.core.log.drain()
     assert paused == OffersPaused(DISCOVERY_STALE_MS)
     assert isinstance(resumed, OffersResumed)
+    assert resumed.paused_ms == stage.now - (started_at + DISCOVERY_STALE_MS)
 
 
 def test_a_configuration_file_that_is_read_in_an_outage_does_not_end_the_pause() -> None:
