A client's connection buffers 12 KiB instead of 256 KiB

Cause: asyncio receives up to 256 KiB at once for a stream, and the reader keeps a second copy to find withdrawals. Evidence: a stream held 262,144 bytes where 32 KiB was meant as the most.

Change: clients' connections receive into one shared buffer of 8 KiB, and stop while 4 KiB are unread.

--- a/kelpfront/platform/client_connection.py
+++ b/kelpfront/platform/client_connection.py
@@ -11,12 +11,16 @@
 
 from kelpfront.platform.idle_connections import NO_VALID_MESSAGE_YET, PartialLine
 from kelpfront.platform.intents import ClientPresence
-from kelpfront.platform.messages import MAX_LINE_BYTES, LineSplitter, contains_withdrawal
+from kelpfront.platform.messages import LineSplitter, contains_withdrawal
 
 MAX_PEEK_BYTES = 256 << 10
 """Limit of unread bytes in the kernel that are searched for a line that withdraws a request."""
 
 
+MAX_BUFFERED_BYTES = 4 << 10
+"""Bytes buffered in a stream beyond which no more are received; asyncio pauses at twice a stream's limit."""
+
+
 class PeekableReader(asyncio.StreamReader):
     """A stream whose unread bytes can be inspected.
 
@@ -26,7 +30,7 @@
     """
 
     def __init__(self) -> None:
-        super().__init__(limit=MAX_LINE_BYTES, loop=asyncio.get_running_loop())
+        super().__init__(limit=MAX_BUFFERED_BYTES // 2, loop=asyncio.get_running_loop())
         self.unread = bytearray()
         self.has_ended = False
 
--- a/kelpfront/platform/listener.py
+++ b/kelpfront/platform/listener.py
@@ -24,18 +24,38 @@
 ACCEPT_ERROR_PAUSE_S = 0.25
 """Pause after an error of `accept`, such as the system's refusal of a descriptor."""
 
+RECEIVE_BYTES = 8 << 10
+"""Maximum size of one receive from a client."""
+
 ServeConnection = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-class _CountedProtocol(asyncio.StreamReaderProtocol):
-    """A stream protocol that reports when its socket is closed."""
+class _ClientProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
+    """A stream protocol that receives into a shared buffer and reports when its socket is closed.
+
+    asyncio receives up to 256 KiB at once for other stream protocols, and hundreds of connections that each
+    hold as much exceed the memory limit of a placer.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, serve: ServeConnection, on_closed: Callable[[], None]
+        self,
+        reader: asyncio.StreamReader,
+        serve: ServeConnection,
+        buffer: memoryview,
+        on_closed: Callable[[], None],
     ) -> None:
         super().__init__(reader, serve)
+        self._buffer = buffer
         self._on_closed = on_closed
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - the interface's parameter
+        """Return the buffer to receive into."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass the received bytes on to the stream."""
+        self.data_received(bytes(self._buffer[:nbytes]))
+
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         asyncio.get_running_loop().call_soon(self._on_closed)  # its transport closes the socket after this
@@ -74,6 +94,7 @@
         self._serve = serve
         self._make_reader = make_reader
         self._limits = limits
+        self._buffer = memoryview(bytearray(RECEIVE_BYTES))
         self._opening = BackgroundTasks()
         self._resume_timer: asyncio.TimerHandle | None = None
         self._serving = False
@@ -126,7 +147,7 @@
         reader = self._make_reader()
         try:
             await loop.connect_accepted_socket(
-                lambda: _CountedProtocol(reader, self._serve, self._on_closed), sock
+                lambda: _ClientProtocol(reader, self._serve, self._buffer, self._on_closed), sock
             )
         except OSError:  # raised before the stream exists, so that its protocol cannot report the close
             sock.close()
