The id of a request that may have run is not taken a second time

Cause: ids of ended requests were remembered only to recognize late messages; the check for used ids knew open requests alone. Evidence: the machine reports the id as standing twice.

Change: an ended request whose offer was sent and not proven unexecuted is remembered in a record of its own; its id is refused (cause 100) unless the class may be repeated.

--- a/kelpfront/platform/attempts.py
+++ b/kelpfront/platform/attempts.py
@@ -17,6 +17,7 @@
 from kelpfront.platform.scheduler_driver import SchedulerDriver
 from kelpfront.scheduling.actions import Bind, CancelAttempt
 from kelpfront.scheduling.events import (
+    NOT_EXECUTED_OUTCOMES,
     AttemptClosed,
     AttemptOutcome,
     LoadReport,
@@ -143,6 +144,7 @@
         """Close an attempt and report its outcome to the scheduler."""
         request = attempt.request
         request.attempt = None
+        request.possibly_executed |= attempt.sent and end.outcome not in NOT_EXECUTED_OUTCOMES
         is_finished = request.answered
         if attempt.accepted:
             self._counters.task_outcomes[end.outcome] += 1
--- a/kelpfront/platform/client_messages.py
+++ b/kelpfront/platform/client_messages.py
@@ -16,7 +16,7 @@
 from kelpfront.platform.running_tasks import RunningTasks
 from kelpfront.platform.scheduler_driver import SchedulerDriver
 from kelpfront.scheduling.events import TaskArrived, TaskId
-from kelpfront.scheduling.settings import SchedulerSettings
+from kelpfront.scheduling.settings import Idempotency, SchedulerSettings
 
 MAX_INVALID_REQUESTS_LOGGED = 20
 """Limit of logged invalid requests; later ones are only counted."""
@@ -95,7 +95,7 @@
         known = self._requests.get(message.call)
         try:
             spec = messages.parse_request(message, self._settings)
-            _check_id_is_unused(spec, known)
+            self._check_id_is_unused(spec, known)
         except InvalidMessageError as error:
             self._on_invalid_request(now, connection, message, error)
             return False
@@ -120,6 +120,20 @@
         self._arrivals.append(request)
         return True
 
+    def _check_id_is_unused(self, spec: PlacementRequest, known: PendingRequest | None) -> None:
+        """Raise an error if a new request has the id of an open one, or of one that must not be repeated.
+
+        The client may have left before it was answered; its task may have been executed all the same.
+        """
+        if spec.running_on:
+            return
+        if known is not None:
+            raise InvalidMessageError("call: the id of an open set-up or of a task that stands")
+        idempotency = self._settings.classes[spec.class_index].idempotency
+        is_repeatable = idempotency is Idempotency.IDEMPOTENT
+        if not is_repeatable and self._requests.was_possibly_executed(spec.request_id):
+            raise InvalidMessageError("call: the id of a set-up that may have run; a new id is wanted")
+
     def _on_invalid_request(
         self, now: float, connection: ConnectionId, message: Message, error: InvalidMessageError
     ) -> None:
@@ -163,11 +177,6 @@
             self._counters.placed_without_client += 1
 
 
-def _check_id_is_unused(spec: PlacementRequest, known: PendingRequest | None) -> None:
-    if known is not None and not spec.running_on:
-        raise InvalidMessageError("call: the id of an open set-up or of a task that stands")
-
-
 def _task_arrived(now: float, task: TaskId, spec: PlacementRequest, deadline: float) -> TaskArrived:
     remaining_ms = max(0.0, deadline - now)
     return TaskArrived(task, spec.class_index, spec.service, spec.cores, spec.memory, remaining_ms)
--- a/kelpfront/platform/requests.py
+++ b/kelpfront/platform/requests.py
@@ -33,6 +33,9 @@
 MAX_ENDED_IDS = 4_096
 """Limit of remembered ids of finished requests, by which late messages on them are recognized."""
 
+MAX_EXECUTED_IDS = 8_192
+"""Limit of remembered ids of finished requests that a machine may have executed."""
+
 
 @dataclass(slots=True, eq=False)
 class PendingRequest:
@@ -47,6 +50,7 @@
         answered: whether no final answer is due any more.
         ended: whether the client ended the task or it was migrated, so that no end is sent to the client.
         adopted: whether the task was placed by a previous incarnation and handed over by its client.
+        possibly_executed: whether a machine may have executed one of its ended attempts.
     """
 
     request_id: str
@@ -61,6 +65,7 @@
     answered: bool = False
     ended: bool = False
     adopted: bool = False
+    possibly_executed: bool = False
 
     @property
     def memory_bytes(self) -> int:
@@ -120,6 +125,7 @@
         self._by_id: dict[str, PendingRequest] = {}
         self._by_task: dict[TaskId, PendingRequest] = {}
         self._ended: dict[str, None] = {}
+        self._executed: dict[str, None] = {}
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -202,10 +208,22 @@
                 del self._per_connection[request.connection]
         del self._by_id[request.request_id]
         del self._by_task[request.task]
-        self._ended[request.request_id] = None
-        if len(self._ended) > MAX_ENDED_IDS:
-            del self._ended[next(iter(self._ended))]
+        _remember(self._ended, request.request_id, MAX_ENDED_IDS)
+        if request.possibly_executed:  # kept apart, so that requests that were never sent do not displace it
+            _remember(self._executed, request.request_id, MAX_EXECUTED_IDS)
 
     def has_ended(self, request_id: str) -> bool:
         """Return whether the request with that id has ended recently."""
         return request_id in self._ended
+
+    def was_possibly_executed(self, request_id: str) -> bool:
+        """Return whether a machine may have executed a recently ended request with that id."""
+        return request_id in self._executed
+
+
+def _remember(ids: dict[str, None], request_id: str, limit: int) -> None:
+    """Add an id as the newest; forget the oldest above the limit."""
+    ids.pop(request_id, None)
+    ids[request_id] = None
+    if len(ids) > limit:
+        del ids[next(iter(ids))]
