A machine whose address a newer one has taken over counts as removed

Cause: the table of endpoints knew machines by id alone; the new process accepted the old one's connections and answered its health checks. Evidence: no refused connection and no missed check.

Change: of two machines listed at one address, the one that started earlier is removed, in changes and in whole lists, also if the list goes on to call it ready.

--- a/kelpfront/platform/endpoint_table.py
+++ b/kelpfront/platform/endpoint_table.py
@@ -26,6 +26,7 @@
     """A machine of the endpoint list, and the tasks that run on it.
 
     Attributes:
+        endpoint: its last entry in the list.
         running: requests whose tasks run on the machine, by request id.
         restarted_at: when this placer was last notified of a new incarnation of a machine that it knew.
     """
@@ -33,6 +34,7 @@
     id: MachineId
     name: str
     address: Address
+    endpoint: Endpoint
     state: MachineState
     started_at: float
     zone: int = -1
@@ -45,6 +47,7 @@
     """The changes that one event has caused.
 
     Attributes:
+        event: the event, with a removal for each machine that another has replaced at its address.
         removed: removed machines, which are still in the table; the caller of `apply` has to forget them.
     """
 
@@ -70,6 +73,7 @@
         self.has_gap = False
         self._highest_index = 0  # of all applied events, also from before the index went back
         self._removed: dict[MachineId, float] = {}  # start time of the removed incarnation
+        self._by_address: dict[Address, MachineId] = {}  # the newest machine at each address
 
     @property
     def poll_index(self) -> int:
@@ -122,13 +126,47 @@
             change.removed = [
                 machine for machine_id, machine in self.machines.items() if machine_id not in listed_ids
             ]
-        for entry in event.entries:
+        applied: list[EndpointEntry] = []
+        for listed_entry in event.entries:
+            entry = self._without_replaced(listed_entry)
+            replaced = self._replaced_by(entry, change)
+            if replaced is not None:
+                removal = replace(replaced.endpoint, state=MachineState.REMOVED)
+                applied.append(EndpointEntry(replaced.name, replaced.address, removal))
+                change.removed.append(replaced)
             self._apply_entry(entry, change)
+            applied.append(entry)
+        change.event = replace(event, entries=tuple(applied))
         for machine in change.removed:
             self._remember_removal(machine)
         self.generation += bool(change.added or change.removed)
         return change
 
+    def _without_replaced(self, entry: EndpointEntry) -> EndpointEntry:
+        """Return the entry as a removal if a newer machine is listed at its address.
+
+        An address belongs to one process at a time, so the older machine is gone, although the list does not
+        say so yet. Its process would be taken for the newer one, which answers at that address.
+        """
+        newer = self._rival_of(entry)
+        if newer is None or newer.started_at <= entry.endpoint.started_at:
+            return entry
+        return replace(entry, endpoint=replace(entry.endpoint, state=MachineState.REMOVED))
+
+    def _replaced_by(self, entry: EndpointEntry, change: EndpointChange) -> Machine | None:
+        """Return the listed machine whose address the entry's newer machine has taken over."""
+        older = self._rival_of(entry)
+        if older is None or older in change.removed or entry.endpoint.state is MachineState.REMOVED:
+            return None
+        return older if older.started_at < entry.endpoint.started_at else None
+
+    def _rival_of(self, entry: EndpointEntry) -> Machine | None:
+        """Return another machine that is listed at the entry's address."""
+        holder_id = self._by_address.get(entry.address)
+        if holder_id is None or holder_id == entry.endpoint.id:
+            return None
+        return self.machines.get(holder_id)
+
     def _apply_entry(self, entry: EndpointEntry, change: EndpointChange) -> None:
         endpoint = entry.endpoint
         machine = self.machines.get(endpoint.id)
@@ -138,14 +176,22 @@
             change.added.append(machine)
         elif endpoint.started_at > machine.started_at:
             change.restarted.append(machine)
+        machine.endpoint = endpoint
         machine.state = endpoint.state
         machine.started_at = endpoint.started_at
         self._removed.pop(endpoint.id, None)
         if entry.address.host:
+            self._release_address(machine)
             machine.address = entry.address
-        if endpoint.state is MachineState.REMOVED:
+        if endpoint.state is not MachineState.REMOVED:
+            self._by_address[machine.address] = machine.id
+        elif machine not in change.removed:
             change.removed.append(machine)
 
+    def _release_address(self, machine: Machine) -> None:
+        if self._by_address.get(machine.address) == machine.id:
+            del self._by_address[machine.address]
+
     def _remember_removal(self, machine: Machine) -> None:
         self._removed[machine.id] = machine.started_at
         if len(self._removed) > MAX_REMEMBERED_REMOVALS:
@@ -170,7 +216,11 @@
 
     def forget(self, machine_id: MachineId) -> bool:
         """Delete a machine; return whether it was in the table."""
-        return self.machines.pop(machine_id, None) is not None
+        machine = self.machines.pop(machine_id, None)
+        if machine is None:
+            return False
+        self._release_address(machine)
+        return True
 
     def machines_by_zone(self) -> dict[int, list[MachineId]]:
         """Return the machines that are not removed, by zone."""
@@ -183,7 +233,15 @@
 
 def _new_machine(entry: EndpointEntry) -> Machine:
     endpoint: Endpoint = entry.endpoint
-    return Machine(endpoint.id, entry.name, entry.address, endpoint.state, endpoint.started_at, endpoint.zone)
+    return Machine(
+        endpoint.id,
+        entry.name,
+        entry.address,
+        endpoint,
+        endpoint.state,
+        endpoint.started_at,
+        endpoint.zone,
+    )
 
 
 def merge_events(events: Sequence[EndpointEvent]) -> EndpointEvent:
