Ended tasks on machines that were never listed leave no memory behind

Cause: the scheduler keeps attempts found on unlisted machines until the machine is listed, and did not remove them when they ended.

Change: the end of an attempt removes it there too; no decision differs.

--- a/kelpfront/scheduling/attempts.py
+++ b/kelpfront/scheduling/attempts.py
@@ -28,7 +28,7 @@
         self._health_checks = health_checks
         self._attempts: dict[AttemptKey, Attempt] = {}
         self._by_service: dict[int, dict[AttemptKey, Attempt]] = {}
-        self._unlisted: dict[MachineId, list[Attempt]] = {}
+        self._unlisted: dict[MachineId, dict[AttemptKey, Attempt]] = {}
 
     def __contains__(self, key: AttemptKey) -> bool:
         return key in self._attempts
@@ -63,14 +63,13 @@
         attempt = Attempt(task, 0, self._fleet.get(machine_id), self._context.now, is_accepted=True)
         self._add(attempt)
         if attempt.machine is None:
-            self._unlisted.setdefault(machine_id, []).append(attempt)
+            self._unlisted.setdefault(machine_id, {})[attempt.key] = attempt
 
     def assign_unlisted(self, machine: Machine) -> None:
         """Assign to a newly listed machine the attempts of tasks that were found there earlier."""
-        for attempt in self._unlisted.pop(machine.id, []):
-            if attempt.key in self._attempts:
-                attempt.machine = machine
-                self._add(attempt)
+        for attempt in self._unlisted.pop(machine.id, {}).values():
+            attempt.machine = machine
+            self._add(attempt)
 
     def accept(self, key: AttemptKey) -> Attempt | None:
         """Mark an attempt as accepted and return it; None if it is unknown or already accepted."""
@@ -82,8 +81,8 @@
             attempt.machine.unaccepted_count -= 1
         return attempt
 
-    def close(self, key: AttemptKey) -> Attempt | None:
-        """Remove an attempt that has ended and return it; None if it is unknown."""
+    def close(self, key: AttemptKey, machine_id: MachineId) -> Attempt | None:
+        """Remove an attempt that has ended on the machine and return it; None if it is unknown."""
         attempt = self._attempts.pop(key, None)
         if attempt is None:
             return None
@@ -92,11 +91,19 @@
         del of_service[key]
         if not of_service:
             del self._by_service[service]
-        if attempt.machine is not None:
+        if attempt.machine is None:
+            self._forget_unlisted(machine_id, key)
+        else:
             attempt.machine.open_attempts.pop(key, None)
             attempt.machine.unaccepted_count -= not attempt.is_accepted
         return attempt
 
+    def _forget_unlisted(self, machine_id: MachineId, key: AttemptKey) -> None:
+        attempts = self._unlisted.get(machine_id, {})
+        attempts.pop(key, None)
+        if not attempts:
+            self._unlisted.pop(machine_id, None)
+
     def _add(self, attempt: Attempt) -> None:
         key = attempt.key
         self._attempts[key] = attempt
--- a/kelpfront/scheduling/scheduler.py
+++ b/kelpfront/scheduling/scheduler.py
@@ -167,7 +167,7 @@
 
     def _on_attempt_closed(self, event: AttemptClosed) -> None:
         self._utilization.apply_load_report(event.machine, event.load)
-        attempt = self._attempts.close(AttemptKey(event.task, event.attempt))
+        attempt = self._attempts.close(AttemptKey(event.task, event.attempt), event.machine)
         if attempt is not None:
             self._feedback.on_closed(attempt, event)
             self._retries.on_closed(attempt, event)
