A machine that has gone does not keep its address from one that started earlier

Found by reading the change of the table again: a machine that is removed by the same event, or that waits for its last task to end, still counted as the holder of its address. If it had started later than the machine that comes there, the new entry was taken for a removal.

Change: a removed machine is no rival for its address. The new test plays it as a change and as a whole list.

--- a/kelpfront/platform/endpoint_table.py
+++ b/kelpfront/platform/endpoint_table.py
@@ -128,7 +128,7 @@
             ]
         applied: list[EndpointEntry] = []
         for listed_entry in event.entries:
-            entry = self._without_replaced(listed_entry)
+            entry = self._without_replaced(listed_entry, change)
             replaced = self._replaced_by(entry, change)
             if replaced is not None:
                 removal = replace(replaced.endpoint, state=MachineState.REMOVED)
@@ -142,30 +142,33 @@
         self.generation += bool(change.added or change.removed)
         return change
 
-    def _without_replaced(self, entry: EndpointEntry) -> EndpointEntry:
+    def _without_replaced(self, entry: EndpointEntry, change: EndpointChange) -> EndpointEntry:
         """Return the entry as a removal if a newer machine is listed at its address.
 
         An address belongs to one process at a time, so the older machine is gone, although the list does not
         say so yet. Its process would be taken for the newer one, which answers at that address.
         """
-        newer = self._rival_of(entry)
+        newer = self._rival_of(entry, change)
         if newer is None or newer.started_at <= entry.endpoint.started_at:
             return entry
         return replace(entry, endpoint=replace(entry.endpoint, state=MachineState.REMOVED))
 
     def _replaced_by(self, entry: EndpointEntry, change: EndpointChange) -> Machine | None:
         """Return the listed machine whose address the entry's newer machine has taken over."""
-        older = self._rival_of(entry)
-        if older is None or older in change.removed or entry.endpoint.state is MachineState.REMOVED:
+        older = self._rival_of(entry, change)
+        if older is None or entry.endpoint.state is MachineState.REMOVED:
             return None
         return older if older.started_at < entry.endpoint.started_at else None
 
-    def _rival_of(self, entry: EndpointEntry) -> Machine | None:
-        """Return another machine that is listed at the entry's address."""
+    def _rival_of(self, entry: EndpointEntry, change: EndpointChange) -> Machine | None:
+        """Return another machine that is listed at the entry's address and is not removed."""
         holder_id = self._by_address.get(entry.address)
         if holder_id is None or holder_id == entry.endpoint.id:
             return None
-        return self.machines.get(holder_id)
+        holder = self.machines.get(holder_id)
+        if holder is None or holder.state is MachineState.REMOVED or holder in change.removed:
+            return None
+        return holder
 
     def _apply_entry(self, entry: EndpointEntry, change: EndpointChange) -> None:
         endpoint = entry.endpoint
--- a/tests/platform/test_platform_reused_addresses.py
+++ b/tests/platform/test_platform_reused_addresses.py
@@ -78,3 +78,13 @@
     stage = stage_with_task()
     tell(stage, 2, member("m-new", ADDRESS))
     assert set(stage.core.endpoints.machines) == {machine_id("m-old"), machine_id("m-new")}
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_machine_that_has_gone_does_not_keep_its_address(*, whole: bool) -> None:
+    """Guards against a machine that is taken for replaced because the former one had started later."""
+    stage = stage_with_task()
+    tell(stage, 2, member("m-old", ADDRESS, up_since_ms=STARTED_MS + 1.0))
+    gone = [] if whole else [OLD | {"phase": "Gone"}]
+    tell(stage, 3, *gone, NEW, whole=whole)
+    assert set(stage.core.endpoints.machines) == {machine_id("m-new")}
